Operators' address: ready, figures, out of service and back (control, counters)

The four calls at `control`/EDGE_CONTROL and the statsd figures. PING and ready are the module's one word; skipped_hosts is its own view of draining and suspect hosts.

--- a/junipertally/interface.py
+++ b/junipertally/interface.py
@@ -257,8 +257,14 @@
     elapsed: float
 
 
+class InService(NamedTuple):
+    """The operators send clients away, or put the gateway back to work."""
+
+    on: bool
+
+
 Event = (HostList | Arrived | StreamBegan | AttemptEnded | RequestGone | TimerFired | ProbeEnded
-         | PeerMessage | CountAnswered)
+         | PeerMessage | CountAnswered | InService)
 
 
 class Send(NamedTuple):
--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -324,6 +324,7 @@
         self.crowd, self.crowd_at = 0.0, 0.0  # how crowded the counter is, in time-outs
         self.need = 1.0  # how much there is to tell and to learn about a try's customer, on average
         self.started: float | None = None
+        self.in_service = True
         self.own_since = -math.inf  # what was sent before this is no evidence
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.serial, self.armed = 0, math.inf
@@ -356,8 +357,23 @@
             self.open[event.request].bound = True
         elif isinstance(event, it.RequestGone):
             self._left(now, self.open.get(event.request))
+        elif isinstance(event, it.InService):
+            self.in_service = event.on
         return self.acts
 
+    def ready(self) -> bool:
+        """Whether clients should come: in service, with a host to send to."""
+        return self.in_service and any(host.ready for host in self.hosts.values())
+
+    def listed(self) -> int:
+        """How many hosts the list holds."""
+        return sum(not host.gone for host in self.hosts.values())
+
+    def skipped(self) -> int:
+        """How many listed hosts get no ordinary traffic: they drain, or are suspect."""
+        return sum(not host.gone and (not host.ready or host.fails >= SUSPECT_FAILS)
+                   for host in self.hosts.values())
+
     def _at(self, now: float, delay: float, what: Callable[..., None], *about: Any) -> None:
         """Have `what` run later. Only the earliest is asked for, so that a quiet gateway sleeps."""
         self.serial += 1
--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -13,12 +13,14 @@
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 import uvloop
 
 from junipertally import interface as it
 from junipertally.node.clients import Clients
+from junipertally.node.control import CONNECTIONS, Answer, Control, Route
 from junipertally.node.counter import Counter
 from junipertally.node.discovery import Discovery, parse_address
 from junipertally.node.gateway import Clock, Node
@@ -27,7 +29,7 @@
 
 log = logging.getLogger("junipertally.node")
 
-RESERVE = 48  # descriptors kept back: loop, log, listener, discovery, counter, a connection on its way out
+RESERVE = 48  # descriptors kept back: loop, log, listeners, discovery, counter, a connection on its way out
 HOSTS_PART = 0.4  # part of the others that connections to hosts may take
 ACCEPT_MORE_S = 0.5  # new connections go on coming for this long after SIGTERM
 ANSWER_BY_S = 3.2  # what is open this long after SIGTERM is answered: SIGKILL comes 3.7 s after it
@@ -39,6 +41,7 @@
 
     name: str
     listen: tuple[str, int]
+    control: tuple[str, int] | None
     discovery: tuple[str, int]
     counter: tuple[str, int] | None
     seed: int
@@ -74,9 +77,11 @@
         settings = settings_from(wire)
         names = names_from(wire)
         wire_limits = wire.get("limits") or {}
+        control = environment.get("EDGE_CONTROL") or source.get("control")
         return Config(
             name=environment.get("EDGE_NAME") or str(source.get("name", "")),
             listen=parse_address(environment.get("EDGE_LISTEN") or source["listen"]),
+            control=parse_address(control) if control else None,
             discovery=parse_address(environment.get("EDGE_DISCOVERY") or source["discovery"]),
             counter=parse_address(source["counter"]) if settings.counter else None,
             seed=int(str(source["seed"]), 16),
@@ -123,23 +128,45 @@
     clients: Clients
     discovery: Discovery
     counter: Counter | NoCounter
+    control: Control
+
+
+def routes(node: Node, names: Names) -> dict[bytes, dict[bytes, Route]]:
+    """What operators may call."""
+    def ready() -> Answer:
+        if node.module.ready():
+            return HTTPStatus.OK, "ready\n"
+        return HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n"
+
+    def figures() -> Answer:
+        return HTTPStatus.OK, node.counters.report(names.classes, {
+            "in_progress": node.unanswered, "known_hosts": node.module.listed(),
+            "skipped_hosts": node.module.skipped()})
+
+    def in_service(on: bool) -> Answer:
+        log.info("control: %s", "in service" if on else "out of service")
+        node.feed(it.InService(on))
+        return HTTPStatus.OK, "in service\n" if on else "out of service\n"
+
+    return {b"/control/ready": {b"GET": ready}, b"/control/counters": {b"GET": figures},
+            b"/control/out-of-service": {b"PUT": lambda: in_service(False)},
+            b"/control/in-service": {b"PUT": lambda: in_service(True)}}
 
 
 def assemble(config: Config, descriptors: int, loop: asyncio.AbstractEventLoop) -> Parts:
     """Put a gateway together, with the hosts that it last knew."""
     node = Node(config.settings, config.seed, Clock(), loop)
-    budget = max(8, descriptors - RESERVE)
+    budget = max(8, descriptors - RESERVE - (CONNECTIONS if config.control else 0))
     pools = node.hosts = HostPools(node, config.idle_ms, int(budget * HOSTS_PART))
     counter = node.counter = Counter(node, config.counter) if config.counter else NoCounter()
-    clients = Clients(node, config.names, pools.able, budget - pools.budget, config.max_open,
-                      config.memory_mb)
+    clients = Clients(node, config.names, budget - pools.budget, config.max_open, config.memory_mb)
     discovery = Discovery(node, pools, config.names.zones, config.discovery)
     if config.known is not None:
         try:
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
-    return Parts(node, pools, clients, discovery, counter)
+    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, config.names)))
 
 
 def reload(path: str, parts: Parts) -> None:
@@ -167,6 +194,8 @@
     parts = assemble(config, descriptors, loop)
     node, clients = parts.node, parts.clients
     host, port = clients.listen(config.listen)
+    if config.control is not None:
+        log.info("control: listening on %s:%d", *parts.control.listen(config.control))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -178,6 +207,7 @@
     await stop.wait()
     log.info("%s: stopping with %d requests open", config.name, node.unanswered)
     await finish(node, clients)
+    parts.control.stop()
     await parts.discovery.stop()
     log.info("%s: stopped", config.name)
 
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -13,6 +13,7 @@
 from typing import cast
 
 from junipertally import interface as it
+from junipertally.node.counters import Ending
 from junipertally.node.gateway import MARGIN_MS, Node, Request
 from junipertally.node.resp import Spoilt, command
 from junipertally.settings import Names
@@ -181,13 +182,14 @@
             self._speaks()
             if len(clients.node.requests) >= clients.max_open or \
                     clients.node.held_bytes + request.size > clients.max_held:
+                clients.node.counters.ended(request.arrival.request_class, Ending.DROPPED)
                 return self._say(b"-BUSY\r\n")
             clients.idle.pop(self, None)
             self.pending.append(request)
             clients.node.arrived(request)
         elif verb == b"PING":
             self._speaks()
-            self._say(b"+PONG\r\n" if clients.able() else b"-ERR not ready\r\n")
+            self._say(b"+PONG\r\n" if clients.node.module.ready() else b"-ERR not ready\r\n")
         elif verb in (b"CLIENT", b"SELECT"):
             self._speaks()
             self._say(b"+OK\r\n")
@@ -310,9 +312,8 @@
 class Clients:
     """The listener and the budget of client connections."""
 
-    def __init__(self, node: Node, names: Names, able: Callable[[], bool], budget: int, max_open: int,
-                 memory_mb: float) -> None:
-        self.node, self.able, self.budget, self.max_open = node, able, budget, max_open
+    def __init__(self, node: Node, names: Names, budget: int, max_open: int, memory_mb: float) -> None:
+        self.node, self.budget, self.max_open = node, budget, max_open
         self.parser = Parser(node, names)
         self.max_held = int(memory_mb * HELD_PART * (1 << 20))
         # Since when connections wait for what has a limit in time, longest first; one sweep looks after all.
--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -11,6 +11,7 @@
 
 from junipertally import interface as it
 from junipertally.logic import Gateway
+from junipertally.node.counters import Counters, Ending
 
 log = logging.getLogger(__name__)
 
@@ -96,6 +97,7 @@
                  loop: asyncio.AbstractEventLoop) -> None:
         self.settings, self.clock, self.loop = settings, clock, loop
         self.module = Gateway(settings, seed)
+        self.counters = Counters(len(settings.classes))
         self.hosts: Hosts
         self.counter: Counter
         self.requests: dict[int, Request] = {}
@@ -174,7 +176,7 @@
     def client_left(self, request: Request) -> None:
         """The client went away: nothing more is owed, and the module hears of it."""
         if not request.done:
-            self._finish(request)
+            self._finish(request, None)
             self.feed(it.RequestGone(request.number))
 
     def _overdue(self, request: Request) -> None:
@@ -191,16 +193,20 @@
 
     def end_now(self, request: Request) -> None:
         """Give a final answer without the module: a refusal where rule 2 lets it be one."""
-        self._finish(request)
         klass = self.settings.classes[request.arrival.request_class]
         if klass.effect is it.Effect.SAFE or not (request.maybe_ran or request.out):
+            self._finish(request, Ending.DROPPED)
             request.client.refused(request, 0.0)
         else:
+            self._finish(request, Ending.BAD_GATEWAY)
             request.client.failed(request)
         self.feed(it.RequestGone(request.number))
 
-    def _finish(self, request: Request) -> None:
+    def _finish(self, request: Request, ending: Ending | None) -> None:
+        """The one end of a request; None: its client left, and it goes under no count."""
         request.done = True
+        if ending is not None:
+            self.counters.ended(request.arrival.request_class, ending)
         self.unanswered -= 1
         if not self.unanswered and self.on_answered is not None:
             self.on_answered()
@@ -213,14 +219,14 @@
     def _refuse(self, action: it.Refuse, now: float) -> None:
         request = self._open(action.request)
         if request is not None:
-            self._finish(request)
+            self._finish(request, Ending.DROPPED)
             request.client.refused(request, action.backoff)
         self._forget(action.request)
 
     def _fail(self, action: it.Fail, now: float) -> None:
         request = self._open(action.request)
         if request is not None:
-            self._finish(request)
+            self._finish(request, Ending.BAD_GATEWAY)
             request.client.failed(request)
         self._forget(action.request)
 
@@ -267,7 +273,7 @@
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.MOOT):
             request.maybe_ran = True
         if outcome is it.Outcome.OK and not request.done:
-            self._finish(request)
+            self._finish(request, Ending.PASSED)
             request.client.served(request, value)
         elapsed = max(0.0, self.clock.now() - attempt.sent)
         self.feed(it.AttemptEnded(request.number, attempt.number, attempt.host, outcome, elapsed,
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -37,6 +37,14 @@
         """Write an attempt's command."""
         self.attempt, attempt.connection = attempt, self
         self.transport.write(command(attempt, now))
+        if not self.unsent:
+            self.pool.hosts.node.counters.upstream_tries += 1
+
+    def resume_writing(self) -> None:
+        """The last byte of a command has left."""
+        super().resume_writing()
+        if self.attempt is not None and not self.closed:
+            self.pool.hosts.node.counters.upstream_tries += 1
 
     def data_received(self, data: bytes) -> None:
         """Take the answer as soon as it is one."""
@@ -276,10 +284,6 @@
         pool.gone = state is it.HostState.GONE
         pool.forget_if_over()
 
-    def able(self) -> bool:
-        """Whether there is a host to send to."""
-        return any(pool.told is None for pool in self.pools.values())
-
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt."""
         if (pool := self.pools.get(attempt.host)) is None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Coroutine
@@ -198,7 +199,7 @@
         self.wire = WIRE | (wire or {})
         self.hosts: list[Peer] = []
         self.parts: Parts
-        self.address = ("", 0)
+        self.address = self.operators = ("", 0)
 
     async def __aenter__(self) -> World:
         await self.counter.start()
@@ -211,12 +212,38 @@
                                "known": known}, {}, "config")
         self.parts = assemble(config, self.descriptors, asyncio.get_running_loop())
         self.address = self.parts.clients.listen(config.listen)
+        self.operators = self.parts.control.listen(("127.0.0.1", 0))
         return self
 
     async def __aexit__(self, *error: object) -> None:
         self.parts.clients.stop()
+        self.parts.control.stop()
         for peer in [*self.hosts, self.counter]:
             peer.server.close()
 
     async def client(self) -> Client:
         return await Client.connect(self.address)
+
+    async def control(self, path: str, method: str = "GET") -> tuple[int, str]:
+        return await control(self.operators, path, method)
+
+    async def figures(self) -> dict[str, int]:
+        """The figures by name; the form of every line is checked."""
+        status, text = await self.control("/control/counters")
+        lines = [re.fullmatch(r"gateway\.([a-z_.]+):([0-9]+)\|([cg])", line) for line in text.splitlines()]
+        assert status == 200 and all(lines), text
+        return {line[1]: int(line[2]) for line in lines if line}
+
+
+async def control(address: tuple[str, int], path: str, method: str = "GET") -> tuple[int, str]:
+    """One call of an operator: the status and the body."""
+    return await call(address, f"{method} {path} HTTP/1.1\r\nHost: gateway\r\n\r\n".encode())
+
+
+async def call(address: tuple[str, int], raw: bytes) -> tuple[int, str]:
+    """Send bytes to the operators' address and read the answer until the connection ends."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(raw)
+    head, _, body = (await soon(reader.read())).decode().partition("\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), body
--- /dev/null
+++ b/tests/test_node_control.py
@@ -0,0 +1,147 @@
+"""The operators' calls and the figures, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from junipertally import interface as it
+from junipertally.node import control as control_module
+from tests.helpers import LIMITS, Drive, of, settings
+from tests.helpers import hosts as host_list
+from tests.sockets import Held, Peer, World, call, control, run, served, soon
+
+
+def test_the_figures_add_up_whichever_way_a_request_ends_and_show_zeros_from_the_start() -> None:
+    async def main() -> None:
+        answers = {b"bad": b"-ERR failed\r\n", b"torn": Peer.RESET}
+
+        async with World(lambda words: answers.get(words[2], served())) as world:
+            zeros = {f"handled.{kind}.{end}": 0 for kind in ("read", "send", "pay")
+                     for end in ("passed", "dropped", "bad_gateway")}
+            assert await world.figures() == zeros | {
+                "upstream_tries": 0, "in_progress": 0, "known_hosts": 1, "skipped_hosts": 0}
+            client = await world.client()
+            for ident in (b"1", b"2"):
+                client.ask(ident)
+                assert await client.answer() == b"value"
+            for ident in (b"bad", b"torn"):
+                client.ask(ident, b"pay", body=b"x")
+                assert await client.answer() == "-ERR failed"
+            client.ask(b"3", wait=1)  # no time left: refused at once
+            assert str(await client.answer()).startswith("-BUSY")
+            client.send(b"API.READ", b"nonsense")
+            assert str(await client.answer()).startswith("-ERR")  # no request: under no count
+            assert await world.figures() == zeros | {
+                "handled.read.passed": 2, "handled.read.dropped": 1, "handled.pay.bad_gateway": 2,
+                "upstream_tries": 4, "in_progress": 0, "known_hosts": 1, "skipped_hosts": 0}
+
+    run(main())
+
+
+def test_open_requests_show_and_one_whose_client_left_goes_under_no_count() -> None:
+    async def main() -> None:
+        held = Held()
+        async with World(held) as world:
+            client, other = await world.client(), await world.client()
+            client.ask(b"1")
+            other.ask(b"2")
+            for _ in range(2):
+                await soon(world.hosts[0].commands.get())
+            assert (await world.figures())["in_progress"] == 2
+            client.writer.transport.abort()
+            while (await world.figures())["in_progress"] == 2:
+                pass
+            held.released.set()
+            assert await other.answer() == b"value"
+            figures = await world.figures()
+            assert figures["in_progress"] == 0 and figures["handled.read.passed"] == 1
+            assert figures["handled.read.dropped"] == figures["handled.read.bad_gateway"] == 0
+
+    run(main())
+
+
+def test_out_of_service_says_no_to_clients_and_operators_and_calls_repeat_safely() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            assert (await world.control("/control/ready"))[0] == 200
+            for path, ready, pong in (
+                    ("out-of-service", 503, "-ERR not ready"), ("in-service", 200, b"PONG")):
+                for _ in range(2):
+                    assert (await world.control(f"/control/{path}", "PUT"))[0] == 200
+                    assert (await world.control("/control/ready"))[0] == ready
+                    client = await world.client()
+                    client.send(b"PING")
+                    assert await client.answer() == pong
+
+    run(main())
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"GET /control/nothing HTTP/1.1\r\n\r\n", 404), (b"GET /control/ready/ HTTP/1.1\r\n\r\n", 404),
+    (b"PUT /control/ready HTTP/1.1\r\n\r\n", 405), (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
+    (b"DELETE /control/counters HTTP/1.1\r\n\r\n", 405), (b"*1\r\n$4\r\nPING\r\n", 400),
+    (b"\0\1\2\r\n\r\n", 400),
+    (b"GET /control/ready HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 200),
+    (b"GET /control/ready HTTP/1.1\r\nX: " + b"x" * control_module.MAX_CALL, 413),
+    (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"x" * 9000, 413),
+    (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200)])
+def test_a_bad_call_gets_its_status_and_changes_nothing(raw: bytes, status: int) -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            assert (await call(world.operators, raw))[0] == status
+            assert (await world.control("/control/ready"))[0] == 200
+
+    run(main())
+
+
+def test_a_call_in_pieces_is_served() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            reader, writer = await asyncio.open_connection(*world.operators)
+            writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for byte in b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n":
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            assert (await soon(reader.readline())).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    run(main())
+
+
+def test_callers_that_say_nothing_or_half_a_call_end_by_themselves_and_hold_up_nobody(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+            for n in range(3 * control_module.CONNECTIONS):
+                crowd.append(await asyncio.open_connection(*world.operators))
+                crowd[-1][1].write(b"GET /control/re" if n % 2 else b"")
+            assert (await control(world.operators, "/control/ready"))[0] == 200
+            assert len(world.parts.control.calls) <= control_module.CONNECTIONS
+            ends: list[Any] = [await soon(reader.read()) if n % 3 else b"" for n, (reader, _) in
+                               enumerate(crowd[-control_module.CONNECTIONS // 2:])]
+            assert all(end.startswith(b"HTTP/1.1 408") for end in ends if end)
+            assert any(ends)
+            for _, writer in crowd:
+                writer.transport.abort()
+
+    monkeypatch.setattr(control_module, "CALL_S", 0.3)
+    run(main())
+
+
+def test_the_module_skips_suspect_and_draining_hosts_and_is_ready_only_with_a_host() -> None:
+    drive = Drive(settings(counter=False, limits=LIMITS), fleet=3)
+    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 0, True)
+    for customer in range(40):
+        drive.now += 3000.0
+        for send in of(drive.arrive(customer=customer)[1], it.Send):
+            drive.end(send, it.Outcome.UNREACHABLE if send.host == 1 else it.Outcome.OK)
+    assert (drive.gate.listed(), drive.gate.skipped()) == (3, 1)
+    drive.feed(host_list(2, state=it.HostState.DRAINING)._replace(kind=it.ListKind.DELTA))
+    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 2, True)
+    drive.feed(host_list(3, state=it.HostState.DRAINING))
+    assert not drive.gate.ready()
