--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -137,9 +137,11 @@
     drive = Drive(settings(counter=False, limits=LIMITS), fleet=3)
     assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 0, True)
     for customer in range(40):
-        drive.now += 3000.0
-        for send in of(drive.arrive(customer=customer)[1], it.Send):
-            drive.end(send, it.Outcome.UNREACHABLE if send.host == 1 else it.Outcome.OK)
+        drive.beats(3000.0)
+        sends = of(drive.arrive(customer=customer)[1], it.Send)
+        for attempt, send in enumerate(sends):  # grows by the further attempts
+            outcome = it.Outcome.UNREACHABLE if send.host == 1 else it.Outcome.OK
+            sends += of(drive.end(send, outcome, attempt), it.Send)
     assert (drive.gate.listed(), drive.gate.skipped()) == (3, 1)
     drive.feed(host_list(2, state=it.HostState.DRAINING)._replace(kind=it.ListKind.DELTA))
     assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 2, True)
