--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -131,7 +131,7 @@
     control: Control
 
 
-def routes(node: Node, names: Names) -> dict[bytes, dict[bytes, Route]]:
+def routes(node: Node, clients: Clients, names: Names) -> dict[bytes, dict[bytes, Route]]:
     """What operators may call."""
     def ready() -> Answer:
         if node.module.ready():
@@ -146,6 +146,7 @@
     def in_service(on: bool) -> Answer:
         log.info("control: %s", "in service" if on else "out of service")
         node.feed(it.InService(on))
+        clients.in_service(on)
         return HTTPStatus.OK, "in service\n" if on else "out of service\n"
 
     return {b"/control/ready": {b"GET": ready}, b"/control/counters": {b"GET": figures},
@@ -166,7 +167,7 @@
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
-    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, config.names)))
+    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, clients, config.names)))
 
 
 def reload(path: str, parts: Parts) -> None:
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -7,6 +7,7 @@
 import errno
 import logging
 import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -31,6 +32,8 @@
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
 HELD_PART = 0.25  # part of the memory limit for the commands of open requests
 ACCEPT_PAUSE_S = 0.1  # wait after an accept that failed for want of a descriptor
+PART_AFTER_S = 0.6  # out of service, clients' last new connections have come by then
+PART_SPEAK_S = 1.0  # how long a new connection may say nothing while all are sent away
 CLOSE_S = 0.2  # how long the last answers may take to leave when the gateway stops
 LINGER_S = 1.0  # how long a client may take to read why its connection ends
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
@@ -234,6 +237,13 @@
         """Close at once."""
         self.transport.abort()
 
+    def part(self) -> None:
+        """Close between requests; one that has come and was not read yet is served first."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        if not self.pending and not poll.poll(0):
+            self.transport.close()
+
     def hurry(self) -> None:
         """Guards against an error that waits long behind open requests: these get their final answers now."""
         for entry in list(self.pending):
@@ -279,8 +289,8 @@
             self.transport.write_eof()
             self.clients.idle.pop(self, None)
             self.clients.note(self.clients.lingering, self)
-        elif self.clients.stopping:
-            self.transport.close()
+        elif self.clients.parting:
+            self.part()
         elif self.known:
             self.clients.rests(self)
 
@@ -327,7 +337,9 @@
         self.connections: set[ClientConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
-        self.accepting = self.stopping = False
+        self.accepting = False
+        self.parting = False  # whether connections close once they are answered
+        self.part_timer: asyncio.TimerHandle | None = None
         self.emptied: asyncio.Event | None = None
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -414,7 +426,7 @@
         limits: tuple[tuple[Waits, float, Callable[[ClientConnection], None]], ...] = (
             (self.owed, OWED_S, ClientConnection.hurry),
             (self.unfinished, COMMAND_S, ClientConnection.cut_short),
-            (self.strangers, SPEAK_S, ClientConnection.leave),
+            (self.strangers, PART_SPEAK_S if self.parting else SPEAK_S, ClientConnection.leave),
             (self.idle, IDLE_S, ClientConnection.leave),
             (self.lingering, LINGER_S, ClientConnection.leave),
             (self.unread, UNREAD_S, ClientConnection.leave))
@@ -440,12 +452,26 @@
         """Take what still waits, stop listening, and close each connection once it is answered."""
         self._accept()
         self._accept_off()
-        self.stopping = True
         if self.listener is not None:
             self.listener.close()
             self.listener = None
+        self._part()
+
+    def in_service(self, on: bool) -> None:
+        """Out of service, connections close once the front has had time to hear of it; new ones may come."""
+        if self.part_timer is not None:
+            self.part_timer.cancel()
+            self.part_timer = None
+        if on:
+            self.parting = False
+        elif not self.parting:
+            self.part_timer = self.node.loop.call_later(PART_AFTER_S, self._part)
+
+    def _part(self) -> None:
+        """Close what rests; the others follow with their last answer."""
+        self.parting = True
         for connection in list(self.idle):
-            connection.transport.close()
+            connection.part()
 
     async def closed(self) -> None:
         """Wait until the last answers are written and their connections have closed."""
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import Any
 
 import pytest
 
 from junipertally import interface as it
+from junipertally.node import clients as clients_module
 from junipertally.node import control as control_module
+from junipertally.node.resp import pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.helpers import hosts as host_list
 from tests.sockets import Held, Peer, World, call, control, run, served, soon
@@ -80,6 +83,55 @@
     run(main())
 
 
+def test_a_drain_serves_what_is_open_then_closes_all_in_time_and_takes_back_the_closing(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        held = Held()
+        async with World(held) as world:
+            idle, busy, silent = [await world.client() for _ in range(3)]
+            idle.send(b"PING")
+            assert await idle.answer() == b"PONG"
+            busy.ask(b"1")
+            await soon(world.hosts[0].commands.get())
+            await world.control("/control/out-of-service", "PUT")
+            idle.send(b"PING")  # still open, and told no
+            assert await idle.answer() == "-ERR not ready"
+            late = await world.client()  # it came before the front had heard
+            late.ask(b"2")
+            await soon(world.hosts[0].commands.get())
+            assert await soon(idle.reader.read()) == b""
+            held.released.set()
+            for client in (busy, late):
+                assert await client.answer() == b"value"
+                assert await soon(client.reader.read()) == b""
+            assert await soon(silent.reader.read()) == b""
+            assert not world.parts.clients.connections
+            await world.control("/control/in-service", "PUT")
+            back = await world.client()
+            for ident in (b"3", b"4"):
+                back.ask(ident)
+                assert await back.answer() == b"value"  # the connection stays
+
+    monkeypatch.setattr(clients_module, "PART_SPEAK_S", 0.1)
+    run(main())
+
+
+def test_a_request_that_has_come_when_its_connection_would_close_is_served_first() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            client = await world.client()
+            client.send(b"PING")
+            assert await client.answer() == b"PONG"
+            sock = client.writer.get_extra_info("socket")
+            command = b"API.READ", b"00000000b4d65521", b"1", b"c=read,t=basic,d=900,units=1,spread=1,first=0"
+            os.write(sock.fileno(), pack(command))  # it lies unread while the closing begins
+            world.parts.clients._part()
+            assert await client.answer() == b"value"
+            assert await soon(client.reader.read()) == b""
+
+    run(main())
+
+
 @pytest.mark.parametrize(("raw", "status"), [
     (b"GET /control/nothing HTTP/1.1\r\n\r\n", 404), (b"GET /control/ready/ HTTP/1.1\r\n\r\n", 404),
     (b"PUT /control/ready HTTP/1.1\r\n\r\n", 405), (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
