--- a/junipertally/interface.py
+++ b/junipertally/interface.py
@@ -263,8 +263,18 @@
     on: bool
 
 
+class Twin(NamedTuple):
+    """Another process of this same gateway serves beside this one, or has ended."""
+
+    on: bool
+
+
+class Leaving(NamedTuple):
+    """This process ends as soon as what is open is answered."""
+
+
 Event = (HostList | Arrived | StreamBegan | AttemptEnded | RequestGone | TimerFired | ProbeEnded
-         | PeerMessage | CountAnswered | InService)
+         | PeerMessage | CountAnswered | InService | Twin | Leaving)
 
 
 class Send(NamedTuple):
--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -46,6 +46,10 @@
 RETRY_BANK = 10.0
 HOLD_SHARE = 0.6  # part of the aim that a request may be held for want of a host, slot or total
 CROSS_COST = 1.1  # a host in another zone must look this much better
+SETTLE_MS = 500.0  # a successor waits so long for a fresh list before it says that it is ready
+HOST_CARRIES = ("lat", "lat_at", "fails", "cuts", "failing", "born", "tried")
+CUSTOMER_CARRIES = ("level", "base", "at", "used_at", "others", "window", "total", "read_at", "share",
+                    "credit", "mirrored", "unpaid", "ceiling", "ceiling_at")
 GAIN = 0.1  # weight of a new value in an average
 
 
@@ -324,7 +328,8 @@
         self.crowd, self.crowd_at = 0.0, 0.0  # how crowded the counter is, in time-outs
         self.need = 1.0  # how much there is to tell and to learn about a try's customer, on average
         self.started: float | None = None
-        self.in_service = True
+        self.in_service, self.twin = True, False  # twin: another process counts at our place
+        self.settled_at = -math.inf  # after a handover: waits so long for a fresh list
         self.own_since = -math.inf  # what was sent before this is no evidence
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.serial, self.armed = 0, math.inf
@@ -359,11 +364,59 @@
             self._left(now, self.open.get(event.request))
         elif isinstance(event, it.InService):
             self.in_service = event.on
+        elif isinstance(event, it.Twin):
+            self.twin = event.on
+        elif isinstance(event, it.Leaving):
+            for who in self.customers.values():
+                if self.set.counter and abs(who.pending) >= 0.5:
+                    self._call(now, who)  # else the count never hears of it
         return self.acts
 
-    def ready(self) -> bool:
-        """Whether clients should come: in service, with a host to send to."""
-        return self.in_service and any(host.ready for host in self.hosts.values())
+    def ready(self, now: float) -> bool:
+        """Whether clients should come: in service and settled, with a host to send to."""
+        return self.in_service and now >= self.settled_at and any(h.ready for h in self.hosts.values())
+
+    def carried(self) -> dict[str, Any]:
+        """What a successor should know, as plain numbers in lists; hosts by their numbers here."""
+        tiers = self.tiers
+        return {
+            "hosts": {str(h.id): [getattr(h, name) for name in HOST_CARRIES] for h in self.hosts.values()},
+            "customers": [[who.key, self.set.plans.index(who.plan), who.spread]
+                          + [float(getattr(who, name)) for name in CUSTOMER_CARRIES]
+                          for who in self.customers.values() if who.window >= 0],
+            "tiers": [tiers.capacity, tiers.growth, tiers.departed, tiers.usual],
+            "typical": self.typical, "pool": self.pool, "crowd": [self.crowd, self.crowd_at]}
+
+    def carry_on(self, now: float, state: dict[str, Any]) -> None:
+        """Take over what a predecessor knew; raises and changes nothing where it can't be read."""
+        def numbers(source: Any, count: int) -> list[float]:
+            if len(source) != count or not all(math.isfinite(value) for value in source):
+                raise ValueError("not the numbers expected")
+            return [float(value) for value in source]
+
+        hosts = [(self.hosts[int(key)], numbers(values, len(HOST_CARRIES)))
+                 for key, values in state["hosts"].items() if int(key) in self.hosts]
+        customers = {}
+        for key, plan, spread, *values in state["customers"]:
+            who = customers[int(key)] = Customer(int(key), self.set.plans[plan], float(spread), now, now)
+            for name, value in zip(CUSTOMER_CARRIES, numbers(values, len(CUSTOMER_CARRIES)), strict=True):
+                setattr(who, name, type(getattr(who, name))(value))
+        capacity, growth, departed = numbers(state["tiers"][:3], 3)
+        usual = numbers(state["tiers"][3], len(self.tiers.usual))
+        typical = [numbers(pair, 2) for pair in state["typical"]]
+        pool = [(share, sample) for share, sample in (numbers(pair, 2) for pair in state["pool"])]
+        crowd, crowd_at = numbers(state["crowd"], 2)
+        if len(typical) != len(self.typical) or len(pool) != len(self.pool):
+            raise ValueError("other classes or plans")
+        for host, values in hosts:
+            for name, value in zip(HOST_CARRIES, values, strict=True):
+                setattr(host, name, type(getattr(host, name))(value))
+        self.customers, self.typical, self.pool = customers, typical, pool
+        self.crowd, self.crowd_at, self.settled_at = crowd, crowd_at, now + SETTLE_MS
+        tiers = self.tiers
+        tiers.capacity, tiers.growth, tiers.departed, tiers.usual = capacity, growth, departed, usual
+        tiers.marked_at, tiers.periods = now if capacity else -math.inf, 1
+        self._sort_hosts(now)
 
     def listed(self) -> int:
         """How many hosts the list holds."""
@@ -398,6 +451,8 @@
         if event.kind is it.ListKind.FAILED:
             self.acts += [it.WatchList(True)] if self.set.asks_for_list else []
             return
+        if event.kind is not it.ListKind.CACHED:
+            self.settled_at = -math.inf
         if event.kind is not it.ListKind.DELTA:
             named = {entry.host for entry in event.entries}
             for host in self.hosts.values():
@@ -721,6 +776,9 @@
                 mine = held
             else:
                 others += max(0, held)
+        if self.twin:  # what the place holds beyond our own sum is the other process's
+            own = who.told + amount
+            mine, others = own, others + max(0, mine - own)
         if window == who.open_window:
             who.told, who.unsure = mine, False
         who.slots = max(0, min(mine, who.plan.parallel - others))
--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import gc
 import json
 import logging
@@ -14,6 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import uvloop
@@ -24,6 +24,7 @@
 from junipertally.node.counter import Counter
 from junipertally.node.discovery import Discovery, parse_address
 from junipertally.node.gateway import Clock, Node
+from junipertally.node.handover import Handover, inherited
 from junipertally.node.hosts import HostPools
 from junipertally.settings import Names, names_from, settings_from
 
@@ -32,6 +33,8 @@
 RESERVE = 48  # descriptors kept back: loop, log, listeners, discovery, counter, a connection on its way out
 HOSTS_PART = 0.4  # part of the others that connections to hosts may take
 ACCEPT_MORE_S = 0.5  # new connections go on coming for this long after SIGTERM
+LAST_CALLS_S = 0.05  # for what the counter is told last to leave
+READY_LOOK_S = 0.02  # how often a successor looks whether it is ready to accept
 ANSWER_BY_S = 3.2  # what is open this long after SIGTERM is answered: SIGKILL comes 3.7 s after it
 
 
@@ -129,12 +132,18 @@
     discovery: Discovery
     counter: Counter | NoCounter
     control: Control
+    room: int  # for connections of clients and hosts together
+
+    def give_room(self, room: int) -> None:
+        """Split the room for connections between hosts and clients."""
+        self.pools.budget = int(room * HOSTS_PART)
+        self.clients.budget = room - self.pools.budget
 
 
 def routes(node: Node, clients: Clients, names: Names) -> dict[bytes, dict[bytes, Route]]:
     """What operators may call."""
     def ready() -> Answer:
-        if node.module.ready():
+        if node.ready():
             return HTTPStatus.OK, "ready\n"
         return HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n"
 
@@ -167,7 +176,8 @@
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
-    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, clients, config.names)))
+    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, clients, config.names)),
+                 budget)
 
 
 def reload(path: str, parts: Parts) -> None:
@@ -187,47 +197,92 @@
         parts.counter.move(config.counter)
 
 
+def carried(parts: Parts) -> dict[str, Any]:
+    """What the module passes on, its hosts by their names: their numbers differ from process to process."""
+    state = parts.node.module.carried()
+    pools = parts.pools.pools
+    state["hosts"] = {pools[int(number)].name: values for number, values in state["hosts"].items()
+                      if int(number) in pools}
+    return state
+
+
+def carry_on(parts: Parts, state: dict[str, Any]) -> None:
+    """Hand a predecessor's state to the module; one that can't be read changes nothing."""
+    try:
+        numbers = parts.discovery.numbers
+        hosts = {str(numbers[name]): values for name, values in state["hosts"].items() if name in numbers}
+        parts.node.module.carry_on(parts.node.clock.now(), state | {"hosts": hosts})
+        log.info("handover: carried on")
+    except (AttributeError, IndexError, KeyError, OverflowError, TypeError, ValueError) as error:
+        log.warning("handover: state passed over: %r", error)
+
+
+def share_room(parts: Parts, held: int | None, older: bool) -> None:
+    """While two processes are one gateway their connections together stay within its limit."""
+    if held is None:
+        parts.give_room(parts.room)
+    elif older:  # it grows no more than to a half
+        open_now = len(parts.clients.connections) + parts.pools.open + parts.pools.connecting
+        parts.give_room(max(parts.room // 2, open_now))
+    else:
+        parts.give_room(max(8, parts.room - max(parts.room // 2, held)))
+    parts.node.feed(it.Twin(held is not None))
+
+
 async def serve(config: Config, descriptors: int) -> None:
     """Run until SIGTERM or SIGINT, then answer what is open and return; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: log.error(
         "%s", context.get("message"), exc_info=context.get("exception")))
     parts = assemble(config, descriptors, loop)
-    node, clients = parts.node, parts.clients
-    host, port = clients.listen(config.listen)
-    if config.control is not None:
-        log.info("control: listening on %s:%d", *parts.control.listen(config.control))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, os.environ["EDGE_CONFIG"], parts)
+    listener, handover = inherited(os.environ), None
+    if listener is None:
+        address = parts.clients.listen(config.listen)
+    if listener is not None and (folder := os.environ.get("TMPDIR")):
+        handover = Handover(Path(folder), lambda: carried(parts),
+                            lambda held, older: share_room(parts, held, older))
+        if (state := await handover.begin()) is not None:
+            carry_on(parts, state)
+    if config.control is not None:  # not earlier: a successor must not say yes to what it has yet to learn
+        log.info("control: listening on %s:%d", *parts.control.listen(config.control))
     parts.discovery.start()
+    loop.add_signal_handler(signal.SIGHUP, reload, os.environ["EDGE_CONFIG"], parts)
+    if handover is not None:
+        handover.start()
+        while handover.predecessor is not None and not parts.node.ready() and not stop.is_set():
+            await asyncio.sleep(READY_LOOK_S)  # until then the predecessor serves alone
+    if listener is not None:
+        address = parts.clients.take(listener)
     gc.collect()
     gc.freeze()
-    log.info("%s: listening on %s:%d", config.name, host, port)
+    log.info("%s: listening on %s:%d", config.name, *address)
     await stop.wait()
-    log.info("%s: stopping with %d requests open", config.name, node.unanswered)
-    await finish(node, clients)
+    log.info("%s: stopping with %d requests open", config.name, parts.node.unanswered)
+    await finish(parts, listener is not None)
+    if handover is not None:
+        handover.over()
     parts.control.stop()
     await parts.discovery.stop()
     log.info("%s: stopped", config.name)
 
 
-async def finish(node: Node, clients: Clients) -> None:
-    """Take requests a little longer, then close, and answer the rest before SIGKILL can come."""
-    loop = asyncio.get_running_loop()
+async def finish(parts: Parts, handed_on: bool) -> None:
+    """Take requests a little longer, unless the listener is another's to serve; then answer what is open."""
+    loop, node = asyncio.get_running_loop(), parts.node
     end = loop.time() + ANSWER_BY_S
-    await asyncio.sleep(ACCEPT_MORE_S)
-    clients.stop()
-    answered = asyncio.Event()
-    node.on_answered = answered.set
-    if node.unanswered:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(end - loop.time()):
-                await answered.wait()
+    node.feed(it.Leaving())
+    if not handed_on:
+        await asyncio.sleep(ACCEPT_MORE_S)
+    parts.clients.stop(not handed_on)
+    parts.pools.part()
+    await parts.clients.gone(end - loop.time())
     for request in [r for r in node.requests.values() if not r.done]:
         node.end_now(request)
-    await clients.closed()
+    await parts.clients.closed()
+    await asyncio.sleep(LAST_CALLS_S)
 
 
 def main() -> int:
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -192,7 +192,7 @@
             clients.node.arrived(request)
         elif verb == b"PING":
             self._speaks()
-            self._say(b"+PONG\r\n" if clients.node.module.ready() else b"-ERR not ready\r\n")
+            self._say(b"+PONG\r\n" if clients.node.ready() else b"-ERR not ready\r\n")
         elif verb in (b"CLIENT", b"SELECT"):
             self._speaks()
             self._say(b"+OK\r\n")
@@ -344,14 +344,11 @@
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Listen on one address only."""
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.listener.bind(address)
-            self.listener.listen(1024)
-        except BaseException:
-            self.listener.close()
-            raise
+        return self.take(socket.create_server(address, backlog=1024))
+
+    def take(self, listener: socket.socket) -> tuple[str, int]:
+        """Accept from a socket that listens already."""
+        self.listener = listener
         self.listener.setblocking(False)
         self._accept_on()
         self.node.loop.call_later(SWEEP_S, self._sweep)
@@ -448,9 +445,10 @@
             self.emptied.set()
         self._accept_on()
 
-    def stop(self) -> None:
-        """Take what still waits, stop listening, and close each connection once it is answered."""
-        self._accept()
+    def stop(self, take_waiting: bool) -> None:
+        """Stop listening, and close each connection once it is answered."""
+        if take_waiting:
+            self._accept()
         self._accept_off()
         if self.listener is not None:
             self.listener.close()
@@ -473,13 +471,17 @@
         for connection in list(self.idle):
             connection.part()
 
+    async def gone(self, patience_s: float) -> None:
+        """Wait until all connections have closed, but not for longer."""
+        if self.connections:
+            self.emptied = asyncio.Event()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(patience_s):
+                    await self.emptied.wait()
+
     async def closed(self) -> None:
         """Wait until the last answers are written and their connections have closed."""
         for connection in list(self.connections):
             if not connection.pending:
                 connection.transport.close()
-        if self.connections:
-            self.emptied = asyncio.Event()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CLOSE_S):
-                    await self.emptied.wait()
+        await self.gone(CLOSE_S)
--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -105,12 +105,15 @@
         self.serial = self.unanswered = self.held_bytes = 0
         self._events: deque[it.Event] = deque()
         self._handling = False
-        self.on_answered: Callable[[], None] | None = None  # told when the last open request is answered
         self._perform: dict[type, Callable[..., None]] = {
             it.Send: self._send, it.Cancel: self._cancel, it.Refuse: self._refuse, it.Fail: self._fail,
             it.Count: lambda a, now: self.counter.call(a.name, a.amount, a.ttl), it.SetTimer: self._set_timer,
             it.Note: lambda a, now: log.info("module: %s", a.text)}
 
+    def ready(self) -> bool:
+        """Whether clients should come, as the module says."""
+        return self.module.ready(self.clock.now())
+
     # Events in, actions out.
 
     def feed(self, event: it.Event) -> None:
@@ -208,8 +211,6 @@
         if ending is not None:
             self.counters.ended(request.arrival.request_class, ending)
         self.unanswered -= 1
-        if not self.unanswered and self.on_answered is not None:
-            self.on_answered()
 
     def _open(self, number: int) -> Request | None:
         """The request if it is still owed an answer: an action may come for one that has ended meanwhile."""
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -200,7 +200,7 @@
         self._rest(connection)
 
     def _rest(self, connection: HostConnection) -> None:
-        if self.told is not None or connection.closed:
+        if self.told is not None or connection.closed or self.hosts.parting:
             return connection.close()
         connection.idle_since = self.hosts.node.clock.now()
         self.idle.append(connection)
@@ -254,6 +254,7 @@
         self.idle_ms = idle_limit_ms * IDLE_PART
         self.pools: dict[int, Pool] = {}
         self.open = self.connecting = 0
+        self.parting = False  # whether connections close with their attempt
         self.tasks: set[asyncio.Task[None]] = set()
         self.forgotten: Callable[[str], None] = lambda name: None  # told of a host that is forgotten
 
@@ -284,6 +285,12 @@
         pool.gone = state is it.HostState.GONE
         pool.forget_if_over()
 
+    def part(self) -> None:
+        """Keep no connection at rest any more."""
+        self.parting = True
+        for pool in list(self.pools.values()):
+            pool.close_idle()
+
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt."""
         if (pool := self.pools.get(attempt.host)) is None:
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -187,7 +187,7 @@
 
 def test_the_module_skips_suspect_and_draining_hosts_and_is_ready_only_with_a_host() -> None:
     drive = Drive(settings(counter=False, limits=LIMITS), fleet=3)
-    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 0, True)
+    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready(drive.now)) == (3, 0, True)
     for customer in range(40):
         drive.beats(3000.0)
         sends = of(drive.arrive(customer=customer)[1], it.Send)
@@ -196,6 +196,6 @@
             sends += of(drive.end(send, outcome, attempt), it.Send)
     assert (drive.gate.listed(), drive.gate.skipped()) == (3, 1)
     drive.feed(host_list(2, state=it.HostState.DRAINING)._replace(kind=it.ListKind.DELTA))
-    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready()) == (3, 2, True)
+    assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready(drive.now)) == (3, 2, True)
     drive.feed(host_list(3, state=it.HostState.DRAINING))
-    assert not drive.gate.ready()
+    assert not drive.gate.ready(drive.now)
