Size: long bodies and values pass through in pieces under backpressure

Values up to 4 MiB both ways; the module hears when a body is whole, when an answer has begun and that a body is spent. A head may take 2.5 s, then only standing still counts.

--- a/junipertally/interface.py
+++ b/junipertally/interface.py
@@ -197,6 +197,14 @@
     units: float = 1.0
     spread: float = 1.0
     client_repeat: bool = False
+    whole: bool = True  # else its last value is still on its way, and `BodyWhole` follows
+
+
+class BodyWhole(NamedTuple):
+    """The last byte of a request has come; its time counts from now."""
+
+    request: int
+    deadline: float
 
 
 class StreamBegan(NamedTuple):
@@ -218,6 +226,7 @@
     meter: float | None = None
     final_units: float | None = None
     load: tuple[float, ...] = ()
+    spent: bool = False  # what would have to be sent again is not held any more
 
 
 class RequestGone(NamedTuple):
@@ -274,7 +283,7 @@
 
 
 Event = (HostList | Arrived | StreamBegan | AttemptEnded | RequestGone | TimerFired | ProbeEnded
-         | PeerMessage | CountAnswered | InService | Twin | Leaving)
+         | PeerMessage | CountAnswered | InService | Twin | Leaving | BodyWhole)
 
 
 class Send(NamedTuple):
--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -50,6 +50,7 @@
 HOST_CARRIES = ("lat", "lat_at", "fails", "cuts", "failing", "born", "tried")
 CUSTOMER_CARRIES = ("level", "base", "at", "used_at", "others", "window", "total", "read_at", "share",
                     "credit", "mirrored", "unpaid", "ceiling", "ceiling_at")
+NONE: frozenset[int] = frozenset()
 GAIN = 0.1  # weight of a new value in an average
 
 
@@ -79,7 +80,7 @@
     """One open request."""
 
     __slots__ = ("id", "deadline", "arrived", "kind", "klass", "plan", "units", "customer", "sends", "out",
-                 "bound", "moving", "held_until", "draw")
+                 "bound", "moving", "held_until", "draw", "whole", "once", "light")
 
     def __init__(self, event: it.Arrived, now: float, klass: it.RequestClass, draw: float) -> None:
         self.id, self.deadline, self.arrived = event.request, event.deadline, now
@@ -88,6 +89,9 @@
         self.sends: list[tuple[Host, float]] = []  # attempts by number
         self.out: dict[int, bool] = {}  # attempt -> still out; attempts proved never to have run are dropped
         self.bound = self.moving = False
+        self.whole = event.whole
+        self.once = not event.whole  # what is passed on as it comes can't be moved to another host
+        self.light: frozenset[int] = NONE  # attempts that are no load: their bytes are on their way, or back
         self.held_until = math.inf  # where no timer watches that yet
         self.draw = draw  # one draw for cold hosts, however often a held request looks for a host
 
@@ -358,8 +362,10 @@
             self._run_due(now)
         elif isinstance(event, it.HostList):
             self._listed(now, event)
-        elif isinstance(event, it.StreamBegan) and event.request in self.open:
-            self.open[event.request].bound = True
+        elif isinstance(event, it.StreamBegan):
+            self._began(now, event)
+        elif isinstance(event, it.BodyWhole):
+            self._whole(now, event)
         elif isinstance(event, it.RequestGone):
             self._left(now, self.open.get(event.request))
         elif isinstance(event, it.InService):
@@ -812,8 +818,11 @@
             self.parked[req.id] = req
             return
         self.parked.pop(req.id, None)
-        host.waiting = host.waiting if host.out else now
-        host.out += 1
+        if req.whole:
+            host.waiting = host.waiting if host.out else now
+            host.out += 1
+        else:
+            req.light |= {len(req.sends)}
         host.tried = now
         if req.customer is not None:
             req.customer.out += 1
@@ -823,6 +832,32 @@
         self.acts.append(it.Send(req.id, host.id, 0.0))
         self._at(now, self._patience(req, host), self._look_after, req, len(req.sends) - 1)
 
+    def _whole(self, now: float, event: it.BodyWhole) -> None:
+        """A host begins with the last byte: only from here an attempt is load, and silence counts."""
+        req = self.open.get(event.request)
+        if req is None:
+            return
+        req.whole, req.deadline, req.arrived = True, event.deadline, now
+        for number in [number for number, out in req.out.items() if out and number in req.light]:
+            host, _ = req.sends[number]
+            req.sends[number] = host, now
+            req.light -= {number}
+            host.waiting = host.waiting if host.out else now
+            host.out += 1
+
+    def _began(self, now: float, event: it.StreamBegan) -> None:
+        """An answer has begun and is learnt from; how long the rest takes tells nothing."""
+        req = self.open.get(event.request)
+        if req is None or event.attempt >= len(req.sends):
+            return
+        req.bound = True
+        if event.attempt not in req.light:
+            host, sent = req.sends[event.attempt]
+            req.light |= {event.attempt}
+            host.out = max(0, host.out - 1)
+            self._learn(now, it.AttemptEnded(req.id, event.attempt, host.id, Outcome.OK, now - sent, False),
+                        host, req)
+
     def _under_ceiling(self, now: float, req: Try) -> bool:
         """Rule 5: units leave the store at the first send itself, else held requests gather into a burst."""
         who = req.customer
@@ -850,9 +885,12 @@
         req = self.open.get(event.request)
         late = self.leaving.get(event.request)
         host = self.hosts.get(event.host)
+        holder = req or late
+        light = holder is not None and event.attempt in holder.light
         if host is not None:
-            host.out = max(0, host.out - 1)
-            self._learn(now, event, host, req)
+            host.out = max(0, host.out - (not light))
+            if not light or event.outcome not in (Outcome.OK, Outcome.CANCELLED):
+                self._learn(now, event, host, req)
             if host.gone and not host.out:
                 del self.hosts[host.id]
         if late is not None and late.customer is not None:
@@ -866,6 +904,7 @@
             req.out.pop(event.attempt, None)
         elif event.attempt in req.out:
             req.out[event.attempt] = False
+        req.bound = req.bound or event.spent
         cost = 0.0 if event.outcome in (Outcome.UNREACHABLE, Outcome.MOOT) or req.moving else 1.0
         if event.final:
             if event.final_units is not None and req.customer is not None:
@@ -921,7 +960,7 @@
         if req is not None:
             self.open.pop(req.id, None)
             self.parked.pop(req.id, None)
-            if req.customer is not None and req.live():
+            if req.live():
                 self.leaving[req.id] = req
 
     def _left(self, now: float, req: Try | None) -> None:
@@ -987,6 +1026,8 @@
         if now <= self.own_since:  # just back from a stand-still: the answer may be in the backlog
             return self._at(now, BEAT_MS, self._look_after, req, number)
         patience, talks = self._patience(req, host), host.heard > sent
+        if req.once or req.bound:
+            return self._at(now, patience, self._look_after, req, number)
         keeps = talks and now - sent < patience * max(1.0, host.slowness(now))
         if keeps or self.bank < 1.0 or not self._may_repeat(now, req):
             return self._at(now, patience, self._look_after, req, number)
@@ -1012,7 +1053,8 @@
         self.fleet = max(1.0, 0.99 * self.fleet, len(self.warm) + len(self.cold))
         since = max(self.tiers.marked_at, self.own_since)
         old = sum(1 for r in self.open.values() if r.out and now - r.arrived > r.klass.aim_ms / 2
-                  and r.arrived >= since and r.sends[-1][0].fails < SUSPECT_FAILS)
+                  and r.whole and not r.bound and r.arrived >= since
+                  and r.sends[-1][0].fails < SUSPECT_FAILS)
         self.tiers.roll(now, sum(h.out for h in self.hosts.values() if h.fails < SUSPECT_FAILS), old)
         if self.rng.random() < PERIOD_MS / MEMORY_MS:
             for key in [k for k, c in self.customers.items()
--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -149,7 +149,7 @@
 
     def figures() -> Answer:
         return HTTPStatus.OK, node.counters.report(names.classes, {
-            "in_progress": node.unanswered, "known_hosts": node.module.listed(),
+            "in_progress": node.in_progress(), "known_hosts": node.module.listed(),
             "skipped_hosts": node.module.skipped()})
 
     def in_service(on: bool) -> Answer:
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import logging
+import math
 import re
 import select
 import socket
@@ -14,6 +15,7 @@
 from typing import cast
 
 from junipertally import interface as it
+from junipertally.node.body import Body
 from junipertally.node.counters import Ending
 from junipertally.node.gateway import MARGIN_MS, Node, Request
 from junipertally.node.resp import Spoilt, command
@@ -24,11 +26,15 @@
 MAX_ERRORS = 8  # commands in error on one connection; one more ends it
 ACCEPT_AT_ONCE = 32  # connections taken in one turn of the loop, so that a crowd cannot hold up the others
 SWEEP_S = 0.25  # how often the limits below are looked at; each is that much under what clients are owed
-SPEAK_S = 2.0  # how long a new connection may say nothing that can be served
-COMMAND_S = 1.5  # how long a command may take to come whole
+SPEAK_S = 2.5  # how long a new connection may say nothing that can be served
+COMMAND_S = 2.5  # how long a command's head may take to come whole
+BODY_STALL_S = 2.0  # how long its body may stand still
 OWED_S = 2.0  # how long an error may wait behind requests that are still open
 IDLE_S = 6.0  # how long a client may rest
 UNREAD_S = 10.0  # how long a client may leave its answers unread
+SEND_BUFFER = 128 * 1024  # of the system, for a client: what lies there is not seen to move
+LONG_SIZE = 128 * 1024  # what a request with a long body is taken to hold: a piece, and as much again unsent
+VERBS = (b"API.READ", b"API.WRITE")
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
 HELD_PART = 0.25  # part of the memory limit for the commands of open requests
 ACCEPT_PAUSE_S = 0.1  # wait after an accept that failed for want of a descriptor
@@ -63,11 +69,13 @@
         self.classes = {name.encode(): n for n, name in enumerate(names.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(names.plans)}
 
-    def request(self, words: list[bytes], client: ClientConnection) -> Request:
-        """Read `API.READ|API.WRITE customer id names-and-values [body]`."""
-        if not 4 <= len(words) <= 5:
+    def request(self, words: list[bytes], client: ClientConnection, body: Body | None = None) -> Request:
+        """Read `API.READ|API.WRITE customer id names-and-values [body]`; a long body comes by itself."""
+        if words[0].upper() not in VERBS:
+            raise Malformed("unknown command")
+        if not 4 <= len(words) + (body is not None) <= 5:
             raise Malformed("wrong number of arguments")
-        size = sum(map(len, words))
+        size = sum(map(len, words)) + (LONG_SIZE if body is not None else 0)
         if not HEX.fullmatch(words[1]) or (customer := int(words[1], 16)) >= 1 << 33:
             raise Malformed("customer is not 16 hex digits of a number below 2^33")
         if not IDENT.fullmatch(words[2]):
@@ -105,15 +113,15 @@
         if not (spread.is_integer() and 1 <= spread <= settings.gateways
                 and first.is_integer() and first < settings.gateways):
             raise Malformed("no such set of gateways")
-        wait = min(float(values[b"d"]), klass.deadline_ms)
-        until = self.node.clock.now() + wait - MARGIN_MS
+        wait = min(float(values[b"d"]), klass.deadline_ms) - MARGIN_MS
+        until = self.node.clock.now() + wait
         self.node.serial += 1
         arrival = it.Arrived(self.node.serial, until, customer, self.plans[values[b"t"]], kind,
-                             units, spread, values.get(b"r") == b"1")
+                             units, spread, values.get(b"r") == b"1", body is None)
         at = 0 if words[3].startswith(b"d=") else words[3].index(b",d=") + 1
         end = words[3].find(b",", at)
         around = words[3][:at], words[3][end:] if end > 0 else b""
-        return Request(arrival, until, words, around, client, size)
+        return Request(arrival, until if body is None else math.inf, words, around, client, size, wait, body)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -124,6 +132,9 @@
         self.transport: asyncio.Transport
         self.buffer = b""  # commands that are not whole yet, or have to wait
         self.pending: deque[Request | Reply] = deque()
+        self.body: Body | None = None  # of the command that is on its way
+        self.request: Request | None = None  # which that command is, if its body is passed on
+        self.queued = 0  # bytes that had not left when we last looked
         self.errors = 0
         self.known = False  # whether it has sent a command that can be served
         self.closing = self.paused = self.blocked = self.parsing = False
@@ -146,12 +157,21 @@
         self.parsing = True
         data, at, short = self.buffer, 0, False
         try:
-            while at < len(data) and not (self.closing or self.blocked) and len(self.pending) < MAX_PENDING:
+            while at < len(data) and not (self.closing or self.blocked) and (
+                    self.body is not None or len(self.pending) < MAX_PENDING):
+                if self.body is not None:
+                    at, on = self._take(self.body, data, at)
+                    if not on:
+                        break
+                    continue
                 if (got := command(data, at)) is None:
                     short = True
                     break
-                words, at = got
-                self._command(words)
+                at = got.end
+                if got.body is None:
+                    self._command(got.words)
+                else:
+                    self._body_begins(Body(got.words, got.body))
         except Spoilt as error:
             self._malformed(str(error))
         finally:
@@ -162,24 +182,69 @@
             self.clients.note(self.clients.unfinished, self)
         elif self in self.clients.unfinished:
             del self.clients.unfinished[self]
+        self.clients.uploading.pop(self, None)
         self._flow()
 
+    def _body_begins(self, body: Body) -> None:
+        """A long body's request begins with its head; one with a short body is not held for a stranger's."""
+        self.body = body
+        body.resume = self._flow
+        if body.long:
+            self._command(body.words, body)
+        elif not self.known:
+            with contextlib.suppress(Malformed):
+                self.clients.parser.request([*body.words, b""], self)
+                self._speaks()
+
+    def _take(self, body: Body, data: bytes, at: int) -> tuple[int, bool]:
+        """Take what has come of a body; returns how far, and whether the command is whole."""
+        piece = data[at:at + body.left]
+        if piece:
+            body.feed(piece)
+        at += len(piece)
+        tail = data[at:at + 2]
+        if body.left or len(tail) < 2:
+            if tail[:1] not in (b"", b"\r"):
+                raise Spoilt("a length does not fit")
+            return at, False
+        if tail != b"\r\n":
+            raise Spoilt("a length does not fit")
+        self.body, request, self.request = None, self.request, None
+        body.end()
+        if not body.long:
+            self._command([*body.words, b"".join(body.held)])
+        elif request is not None:
+            self.clients.node.body_whole(request, self.clients.node.clock.now() + request.wait)
+        if body.long and not self.pending:
+            self._rest()
+        return at + 2, True
+
     def _flow(self) -> None:
         """Read no more while many requests are open or the client does not take its answers.
 
         Guards against a client that never reads filling the memory: all it can leave with us is what
         is open when its answers stop going out.
         """
-        pause = not self.closing and (self.blocked or len(self.pending) >= MAX_PENDING)
+        pause = not self.closing and (self.blocked or (
+            not self.body.wants() if self.body is not None and self.body.long
+            else len(self.pending) >= MAX_PENDING))
         if pause != self.paused and not self.transport.is_closing():
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        if self.body is None or pause or self.closing:
+            self.clients.uploading.pop(self, None)
+        else:
+            self.clients.idle.pop(self, None)
+            self.clients.note(self.clients.uploading, self)
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], body: Body | None = None) -> None:
+        """Carry out a command; one with a long body need not be whole."""
         verb, clients = words[0].upper(), self.clients
-        if verb in (b"API.READ", b"API.WRITE"):
+        if body is not None:
+            body.over = True  # until a request takes it
+        if verb in VERBS:
             try:
-                request = clients.parser.request(words, self)
+                request = clients.parser.request(words, self, body)
             except Malformed as error:
                 return self._error(str(error))
             self._speaks()
@@ -189,6 +254,8 @@
                 return self._say(b"-BUSY\r\n")
             clients.idle.pop(self, None)
             self.pending.append(request)
+            if body is not None:
+                body.over, self.request = False, request
             clients.node.arrived(request)
         elif verb == b"PING":
             self._speaks()
@@ -219,8 +286,13 @@
 
     def _malformed(self, why: str) -> None:
         """Say what is wrong once all before it is answered, then close."""
-        self.closing = True
+        self.closing, self.body = True, None
         self.clients.strangers.pop(self, None)
+        request, self.request = self.request, None
+        if request is not None and not request.done:
+            self.clients.node.client_left(request)  # it never came whole; the error is its answer
+            if request in self.pending:
+                self.pending.remove(request)
         if self.pending:
             self.clients.note(self.clients.owed, self)
         self._say(b"-ERR %s\r\n" % why.encode())
@@ -233,6 +305,14 @@
         self.buffer = b""
         self._flow()
 
+    def unread(self) -> None:
+        """Close if the client has taken nothing for long; slow is not stalled."""
+        queued = self.transport.get_write_buffer_size()
+        if queued >= self.queued:
+            return self.leave()
+        self.queued = queued
+        self.clients.note(self.clients.unread, self)
+
     def leave(self) -> None:
         """Close at once."""
         self.transport.abort()
@@ -241,13 +321,13 @@
         """Close between requests; one that has come and was not read yet is served first."""
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not self.pending and not poll.poll(0):
+        if not self.pending and self.body is None and not poll.poll(0):
             self.transport.close()
 
     def hurry(self) -> None:
         """Guards against an error that waits long behind open requests: these get their final answers now."""
         for entry in list(self.pending):
-            if isinstance(entry, Request) and not entry.done:
+            if isinstance(entry, Request) and not entry.done and entry.source is None:
                 self.clients.node.end_now(entry)
 
     # Answers.
@@ -264,15 +344,43 @@
         """Promise nothing."""
         self._answer(request, b"-ERR failed\r\n")
 
+    def began(self, request: Request, length: int) -> None:
+        """A long value begins."""
+        self.piece(request, b"$%d\r\n" % length)
+
+    def piece(self, request: Request, data: bytes) -> None:
+        """Pass on a piece of it, in its turn."""
+        request.parts.append(data)
+        self._flush()
+
+    def takes(self, request: Request) -> bool:
+        """Whether the next piece may come: it is the request's turn, and the client reads."""
+        return bool(self.pending) and self.pending[0] is request and not self.blocked
+
+    def ended(self, request: Request) -> None:
+        """The value is whole."""
+        self._answer(request, b"\r\n")
+
+    def cut(self, request: Request) -> None:
+        """The value stays short: what has come of it goes out, then the connection ends."""
+        self.closing = True
+        self.transport.close()
+
     def _answer(self, request: Request, reply: bytes) -> None:
         request.reply = reply
         self._flush()
 
     def _flush(self) -> None:
-        """Write the answers that are next in turn."""
+        """Write the answers that are next in turn, and what has come of a long one."""
         ready: list[bytes] = []
-        while self.pending and (reply := self.pending[0].reply) is not None:
-            ready.append(reply)
+        while self.pending:
+            entry = self.pending[0]
+            if isinstance(entry, Request) and entry.parts:
+                ready += entry.parts
+                entry.parts.clear()
+            if entry.reply is None:
+                break
+            ready.append(entry.reply)
             self.pending.popleft()
         if not ready or self.transport.is_closing():
             return
@@ -282,8 +390,19 @@
         if not self.pending:
             self.clients.owed.pop(self, None)
             self._rest()
+        else:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Let the value go on whose turn it is."""
+        if self.pending and not self.blocked:
+            entry = self.pending[0]
+            if isinstance(entry, Request) and entry.source is not None:
+                entry.source.go_on()
 
     def _rest(self) -> None:
+        if self.body is not None:
+            return  # the rest of a command that is answered already
         if self.closing:
             # Guards against a reset that would overtake the last answer: the client ends its side first.
             self.transport.write_eof()
@@ -297,6 +416,7 @@
     def pause_writing(self) -> None:
         """The client does not read."""
         self.blocked = True
+        self.queued = self.transport.get_write_buffer_size()
         self.clients.note(self.clients.unread, self)
         self._flow()
 
@@ -305,6 +425,7 @@
         self.blocked = False
         self.clients.unread.pop(self, None)
         self._parse()
+        self._go_on()
 
     def connection_lost(self, error: Exception | None) -> None:
         """A client that goes frees all its state, and the module hears of it."""
@@ -333,7 +454,9 @@
         self.owed: dict[ClientConnection, float] = {}  # an error waits behind open requests
         self.lingering: dict[ClientConnection, float] = {}  # were told why they end
         self.unread: dict[ClientConnection, float] = {}  # leave answers unread
-        self.waits = (self.strangers, self.idle, self.unfinished, self.owed, self.lingering, self.unread)
+        self.uploading: dict[ClientConnection, float] = {}  # owe more of a body, since its last piece
+        self.waits = (self.strangers, self.idle, self.unfinished, self.uploading, self.owed, self.lingering,
+                      self.unread)
         self.connections: set[ClientConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
@@ -393,6 +516,7 @@
                 resting.transport.abort()
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
             connection = ClientConnection(self)
             self.connections.add(connection)
             task = self.node.loop.create_task(self._adopt(connection, sock))
@@ -426,7 +550,8 @@
             (self.strangers, PART_SPEAK_S if self.parting else SPEAK_S, ClientConnection.leave),
             (self.idle, IDLE_S, ClientConnection.leave),
             (self.lingering, LINGER_S, ClientConnection.leave),
-            (self.unread, UNREAD_S, ClientConnection.leave))
+            (self.uploading, BODY_STALL_S, ClientConnection.cut_short),
+            (self.unread, UNREAD_S, ClientConnection.unread))
         for waits, limit, end in limits:
             line = self.node.loop.time() - limit
             while waits and waits[connection := next(iter(waits))] <= line:
--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 
 from junipertally import interface as it
 from junipertally.logic import Gateway
+from junipertally.node.body import Body
 from junipertally.node.counters import Counters, Ending
 
 log = logging.getLogger(__name__)
@@ -42,17 +44,43 @@
     def failed(self, request: Request) -> None:
         """Promise nothing."""
 
+    def began(self, request: Request, length: int) -> None:
+        """A long value begins."""
+
+    def piece(self, request: Request, data: bytes) -> None:
+        """Pass on a piece of it."""
+
+    def takes(self, request: Request) -> bool:
+        """Whether the next piece may come."""
+
+    def ended(self, request: Request) -> None:
+        """The value is whole."""
+
+    def cut(self, request: Request) -> None:
+        """The value stays short: let the client see that."""
+
+
+class Source(Protocol):
+    """Where a long value comes from."""
+
+    def go_on(self) -> None:
+        """More may come."""
+
 
 class Request:
     """One request of a client, until its last attempt has ended."""
 
     __slots__ = ("number", "arrival", "until", "words", "list_at", "client", "reply", "attempts", "out",
-                 "done", "timer", "maybe_ran", "size")
+                 "done", "timer", "maybe_ran", "size", "body", "parts", "source", "wait")
 
     def __init__(self, arrival: it.Arrived, until: float, words: list[bytes], list_at: tuple[bytes, bytes],
-                 client: Answerer, size: int) -> None:
+                 client: Answerer, size: int, wait: float = math.inf, body: Body | None = None) -> None:
+        self.wait = wait  # how long its answer may take from its last byte
         self.number, self.arrival = arrival.request, arrival
-        self.until = until  # when its answer must have been written
+        self.until = until  # when its answer must have been written; with a body: from when that is whole
+        self.body = body  # its last value, if that is passed on
+        self.parts: list[bytes] = []  # pieces of a long answer that wait for those before it
+        self.source: Source | None = None  # once a long answer has begun: no other can be given
         self.words, self.list_at = words, list_at  # the command; its names and values before and after `d`
         self.client, self.size = client, size
         self.reply: bytes | None = None  # the answer, while it waits for those before it
@@ -61,6 +89,10 @@
         self.done = self.maybe_ran = False
         self.timer: asyncio.TimerHandle | None = None
 
+    def taken(self) -> bool:
+        """Whether its last byte has come."""
+        return self.body is None or self.body.whole
+
 
 class Attempt:
     """One attempt of a request at a host."""
@@ -172,15 +204,37 @@
         self.ids.add(request.words[2])
         self.unanswered += 1
         self.held_bytes += request.size
+        if request.body is None:
+            self._set_deadline(request)
+        self.feed(request.arrival)
+
+    def body_whole(self, request: Request, until: float) -> None:
+        """The last byte of a request with a body that is passed on has come: its time counts from here."""
+        if not request.done:
+            request.until = until
+            self._set_deadline(request)
+            self.feed(it.BodyWhole(request.number, until))
+
+    def _set_deadline(self, request: Request) -> None:
         delay = max(0.0, request.until - self.clock.now()) / 1000
         request.timer = self.loop.call_later(delay, self._overdue, request)
-        self.feed(request.arrival)
+
+    def in_progress(self) -> int:
+        """How many requests are taken and not ended."""
+        return sum(not request.done and request.taken() for request in self.requests.values())
 
     def client_left(self, request: Request) -> None:
         """The client went away: nothing more is owed, and the module hears of it."""
-        if not request.done:
-            self._finish(request, None)
-            self.feed(it.RequestGone(request.number))
+        if request.done:
+            return
+        passing = not request.taken() or request.source is not None
+        self._finish(request, None)
+        self.feed(it.RequestGone(request.number))
+        for attempt in request.attempts if passing else ():
+            if attempt is not None:  # a command that stays short never runs; a value has nowhere to go
+                self.hosts.drop(attempt)
+                self.attempt_ended(attempt, it.Outcome.CANCELLED if request.taken() else it.Outcome.MOOT)
+        self._forget(request.number)
 
     def _overdue(self, request: Request) -> None:
         """At the deadline attempts end as timed out; a request that is open even then fails."""
@@ -196,6 +250,8 @@
 
     def end_now(self, request: Request) -> None:
         """Give a final answer without the module: a refusal where rule 2 lets it be one."""
+        if request.source is not None:
+            return self._cut(request)
         klass = self.settings.classes[request.arrival.request_class]
         if klass.effect is it.Effect.SAFE or not (request.maybe_ran or request.out):
             self._finish(request, Ending.DROPPED)
@@ -205,9 +261,17 @@
             request.client.failed(request)
         self.feed(it.RequestGone(request.number))
 
+    def _cut(self, request: Request) -> None:
+        """End a value that has begun and can't be finished."""
+        self._finish(request, Ending.BAD_GATEWAY)
+        request.client.cut(request)
+        self.feed(it.RequestGone(request.number))
+
     def _finish(self, request: Request, ending: Ending | None) -> None:
         """The one end of a request; None: its client left, and it goes under no count."""
         request.done = True
+        if request.body is not None:
+            request.body.finish()
         if ending is not None:
             self.counters.ended(request.arrival.request_class, ending)
         self.unanswered -= 1
@@ -215,7 +279,7 @@
     def _open(self, number: int) -> Request | None:
         """The request if it is still owed an answer: an action may come for one that has ended meanwhile."""
         request = self.requests.get(number)
-        return None if request is None or request.done else request
+        return None if request is None or request.done or request.source is not None else request
 
     def _refuse(self, action: it.Refuse, now: float) -> None:
         request = self._open(action.request)
@@ -262,6 +326,19 @@
             self.hosts.drop(attempt)
             self.attempt_ended(attempt, it.Outcome.CANCELLED)
 
+    def value_began(self, attempt: Attempt, length: int, source: Source) -> bool:
+        """A long value begins to come: it is passed on unless nobody waits; from here no deadline counts."""
+        request = attempt.request
+        if request.done:
+            return False
+        request.source = source
+        for timer in (request.timer, attempt.timer):
+            if timer is not None:
+                timer.cancel()
+        request.client.began(request, length)
+        self.feed(it.StreamBegan(request.number, attempt.number))
+        return True
+
     def attempt_ended(self, attempt: Attempt, outcome: it.Outcome, value: bytes = b"") -> None:
         """Tell the module how an attempt ended, once; the first value goes to the client by itself."""
         request = attempt.request
@@ -273,12 +350,19 @@
             attempt.timer.cancel()
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.MOOT):
             request.maybe_ran = True
-        if outcome is it.Outcome.OK and not request.done:
+        if request.source is not None and not request.done:
+            if outcome is it.Outcome.OK:
+                self._finish(request, Ending.PASSED)
+                request.client.ended(request)
+            else:
+                self._cut(request)
+        elif outcome is it.Outcome.OK and not request.done:
             self._finish(request, Ending.PASSED)
             request.client.served(request, value)
         elapsed = max(0.0, self.clock.now() - attempt.sent)
+        spent = request.body is not None and request.body.spent
         self.feed(it.AttemptEnded(request.number, attempt.number, attempt.host, outcome, elapsed,
-                                  request.done))
+                                  request.done, spent=spent))
 
     # Timers.
 
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -3,24 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 
 from junipertally import interface as it
 from junipertally.node.gateway import Attempt, Node
-from junipertally.node.resp import Outgoing, Spoilt, answer, pack
+from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, fields, pack
 
-STALL_S = 0.5  # how long an answer that has begun may take to come whole
+STALL_S = 0.5  # how long a short answer that has begun may stand still
+VALUE_STALL_S = 4.0  # how long a long one may
+UPLOAD_STALL_S = 3.0  # how long a host may take nothing of a body that is passed on
+SEND_BUFFER = 64 * 1024  # of the system, for a body: what lies there is not seen to move
 IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
 DRAIN_MARGIN_MS = 100.0  # a late send stays this far inside the grace
 
 
 def command(attempt: Attempt, now: float) -> bytes:
-    """The client's command with `d` set to the time that is left."""
+    """The client's command with `d` set to the time that is left; a body that is passed on follows it."""
     request = attempt.request
     before, after = request.list_at
-    left = max(1, int(attempt.until - now))
-    return pack([*request.words[:3], b"%sd=%d%s" % (before, left, after), *request.words[4:]])
+    left = max(1, int(min(attempt.until - now, request.wait)))
+    words = [*request.words[:3], b"%sd=%d%s" % (before, left, after), *request.words[4:]]
+    if request.body is None:
+        return pack(words)
+    return b"*%d%s$%d\r\n" % (len(words) + 1, pack(words)[2:], request.body.length)
 
 
 class HostConnection(Outgoing):
@@ -31,63 +38,181 @@
         self.pool, self.address = pool, address
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
-        self.stall: asyncio.TimerHandle | None = None  # while an answer has begun and is not whole
+        self.stall: asyncio.TimerHandle | None = None  # while the host owes us bytes, or has to take ours
+        self.uploading = False  # the command's body is not whole
+        self.queued = 0  # bytes of it that had not left when we last looked
+        self.left: int | None = None  # bytes of a long value that are still to come
+        self.expected = 0  # how many figures follow it
+        self.fields: int | None = None  # how many figures follow the value that has come
+        self.held_up = False  # nothing is read, as the client does not take it
+
+    # What we send.
 
     def begin(self, attempt: Attempt, now: float) -> None:
         """Write an attempt's command."""
         self.attempt, attempt.connection = attempt, self
+        body = attempt.request.body
+        self.uploading = body is not None
         self.transport.write(command(attempt, now))
+        if body is None:
+            self._written()
+        else:
+            # Guards against a body that the system buffers whole: progress would show only after seconds.
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+            body.attach(self)
+
+    def more(self, data: bytes) -> None:
+        """Send a piece of the body on."""
+        if not self.closed:
+            self.transport.write(data)
+
+    def complete(self) -> None:
+        """The body is whole: from its last byte on the host has the request, and its time counts."""
+        if self.closed or self.attempt is None:
+            return
+        self.uploading = False
+        self.transport.write(b"\r\n")
+        self.attempt.sent = self.pool.hosts.node.clock.now()
+        self._written()
+
+    def _written(self) -> None:
         if not self.unsent:
             self.pool.hosts.node.counters.upstream_tries += 1
 
+    def pause_writing(self) -> None:
+        """Some bytes have not left; a host that takes none of a body for long is given up."""
+        super().pause_writing()
+        if self.uploading:
+            self._look_at_queue(True)
+
+    def _look_at_queue(self, first: bool = False) -> None:
+        queued = self.transport.get_write_buffer_size()
+        if not first and queued >= self.queued:
+            return self.close(it.Outcome.UNREACHABLE)  # the command stays short: it never runs
+        self.queued = queued
+        self._watch(UPLOAD_STALL_S, self._look_at_queue)
+
     def resume_writing(self) -> None:
-        """The last byte of a command has left."""
+        """The last byte has left: of a command, or of what has come of it."""
         super().resume_writing()
-        if self.attempt is not None and not self.closed:
+        if self.closed or self.attempt is None:
+            return
+        if not self.uploading:
             self.pool.hosts.node.counters.upstream_tries += 1
+        self._stall_off()
+        if self.attempt.request.body is not None:
+            self.attempt.request.body.resume()
+
+    # What comes.
 
     def data_received(self, data: bytes) -> None:
-        """Take the answer as soon as it is one."""
+        """Take the answer as soon as it is one; pass a long one on as it comes."""
         if self.closed:
             return
+        if self.left is not None:
+            return self._pass_on(data)
+        self.buffer = self.buffer + data if self.buffer else data
+        if self.fields is not None:
+            return self._rest_of_answer()
         attempt = self.attempt
         if attempt is None:
             return self.close()  # unasked
-        if self.buffer:
-            data = self.buffer + data
         try:
-            reply = answer(data)
+            reply = answer(self.buffer)
         except Spoilt:
             return self.spoilt()
         if reply is None:
-            self.buffer = data
-            if self.stall is None:
-                self.stall = self.pool.hosts.node.loop.call_later(STALL_S, self.spoilt)
-            return
-        self.buffer = b""
-        self._stall_off()
+            return self._watch(STALL_S, self.spoilt)
+        if isinstance(reply, LongValue):
+            return self._value_begins(attempt, reply)
         outcome, value = it.Outcome.OK, reply.value
         if value is None:
             # Only this very word says that nothing ran; one like BUSYKEY does not.
             never = reply.error.split(b" ", 1)[0] == b"BUSY"
             outcome, value = it.Outcome.FULL if never else it.Outcome.ERROR, b""
+        self._answered(attempt, outcome, value, reply.fields, self.buffer[reply.end:])
+
+    def _value_begins(self, attempt: Attempt, value: LongValue) -> None:
+        data, self.buffer = self.buffer[value.start:], b""
+        self.left, self.expected = value.length, value.fields
+        if not self.pool.hosts.node.value_began(attempt, value.length, self):
+            return self.close(it.Outcome.CANCELLED)  # nobody waits for it any more
+        self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        """Hand a piece of the value to the client, and read no more until it can take the next.
+
+        The bytes behind a value show whether its length was true: the client's last ones wait for them.
+        """
+        attempt = self.attempt
+        if attempt is None or self.left is None:
+            return self.close()
+        request = attempt.request
+        if request.done:
+            return self.close(it.Outcome.CANCELLED)
+        piece = data[:self.left]
+        self.left -= len(piece)
+        if piece:
+            request.client.piece(request, piece)
+        if not self.left:
+            self.buffer += data[len(piece):]
+            if self.buffer[:2] != b"\r\n"[:len(self.buffer)]:
+                return self.spoilt()
+            if len(self.buffer) >= 2:
+                self.left = None
+                return self._answered(attempt, it.Outcome.OK, b"", self.expected, self.buffer[2:])
+        elif not request.client.takes(request):
+            self.held_up = True
+            self.transport.pause_reading()
+            return self._stall_off()
+        self._watch(VALUE_STALL_S, self.spoilt)
+
+    def go_on(self) -> None:
+        """The client takes more."""
+        if self.held_up and not self.closed:
+            self.held_up = False
+            self._watch(VALUE_STALL_S, self.spoilt)
+            self.transport.resume_reading()
+
+    def _answered(self, attempt: Attempt, outcome: it.Outcome, value: bytes, count: int, rest: bytes) -> None:
+        """The attempt is over; the connection serves again once the figures behind the value have come."""
+        self._stall_off()
         self.attempt = attempt.connection = None
-        node = self.pool.hosts.node
-        if reply.clean:
-            self.pool.freed(self)
+        self.fields, self.buffer = count, rest
+        if self.uploading:
+            self.close()  # the host has answered what it had not read: the rest would be taken for a command
         else:
-            # Guards against taking what came behind a good answer for the answer to the next request.
-            self.close()
+            self._rest_of_answer()
+        node = self.pool.hosts.node
+        if attempt.request.body is not None:
+            attempt.request.body.detach()
         node.attempt_ended(attempt, outcome, value)
 
+    def _rest_of_answer(self) -> None:
+        state = fields(self.buffer, 0, self.fields or 0)
+        if state is None:
+            return self._watch(STALL_S, self.close)
+        if not state:
+            # Guards against taking what came behind a good answer for the answer to the next request.
+            return self.close()
+        self._stall_off()
+        self.fields, self.buffer = None, b""
+        self.pool.freed(self)
+
     def spoilt(self) -> None:
-        """Give up on an answer that can be none, or that does not end; its request may have run.
+        """Give up on an answer that can be none, or that does not go on; its request may have run.
 
         Guards against waiting for the rest until the deadline. To the module it is an error of a host that is
         up, not a reset: spoilt answers come from any host and must not make hosts suspect.
         """
         self.close(it.Outcome.ERROR)
 
+    def _watch(self, patience_s: float, end: Callable[[], None]) -> None:
+        """Slow is not stalled: so long without any progress ends it."""
+        self._stall_off()
+        self.stall = self.pool.hosts.node.loop.call_later(patience_s, end)
+
     def _stall_off(self) -> None:
         if self.stall is not None:
             self.stall.cancel()
@@ -104,6 +229,8 @@
         self.pool.lost(self)
         if attempt is not None:
             attempt.connection = None
+            if attempt.request.body is not None:
+                attempt.request.body.detach()
             if outcome is not None:
                 self.pool.hosts.node.attempt_ended(attempt, outcome)
 
@@ -113,7 +240,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """A break proves that nothing ran only while the request's last byte was still here."""
-        self.close(it.Outcome.UNREACHABLE if self.unsent else it.Outcome.RESET)
+        self.close(it.Outcome.UNREACHABLE if self.unsent or self.uploading else it.Outcome.RESET)
 
 
 class Pool:
--- a/junipertally/node/resp.py
+++ b/junipertally/node/resp.py
@@ -12,20 +12,23 @@
 from collections.abc import Sequence
 from typing import NamedTuple, cast
 
-MAX_VALUE = 64 * 1024  # bytes of one value
-MAX_COMMAND = 2 * MAX_VALUE  # bytes of all values of a command
+WHOLE = 64 * 1024  # bytes of a value that is kept whole; a longer one is passed on as it comes
+MAX_VALUE = 4 << 20  # bytes of a value that is passed on
+MAX_COMMAND = 2 * WHOLE  # bytes of all values of a command but one that is passed on
+BODY = 4  # where a command's body stands among its values
 MAX_WORDS = 16  # values of a command
 MAX_ERROR = 256  # bytes of an error line
 
 _COUNT = re.compile(rb"\*([0-9]{1,2})\r\n")
 _COUNT_PART = re.compile(rb"\*(?:[0-9]{1,2}\r?)?")
-_BULK = re.compile(rb"\$([0-9]{1,5})\r\n")
-_BULK_PART = re.compile(rb"(?:\$(?:[0-9]{1,5}\r?)?)?")
+_BULK = re.compile(rb"\$([0-9]{1,7})\r\n")
+_BULK_PART = re.compile(rb"(?:\$(?:[0-9]{1,7}\r?)?)?")
 _ARRAY = re.compile(rb"\*([1-9])\r\n")
 _ARRAY_PART = re.compile(rb"\*(?:[1-9]\r?)?")
 _ERROR = re.compile(rb"-([ -~]{1,%d})\r\n" % MAX_ERROR)
 _ERROR_PART = re.compile(rb"-[ -~]{0,%d}\r?" % MAX_ERROR)
 _FIELD = re.compile(rb"[$*]-1\r\n|:-?[0-9]{1,18}\r\n")
+_FIELD_PART = re.compile(rb"(?:[$*](?:-(?:1\r?)?)?|:-?[0-9]{0,18}\r?)?")
 _NUMBER = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
 NULLS = b"$-1\r\n$-1\r\n"
 
@@ -34,12 +37,29 @@
     """What came can be no message of its kind, however it may go on."""
 
 
+class Command(NamedTuple):
+    """A command's values and where it ends; a body follows from there, so many bytes long, if it has one."""
+
+    words: list[bytes]
+    end: int
+    body: int | None
+
+
 class Answer(NamedTuple):
-    """A host's answer: a value, or else the text of an error. `clean`: nothing came that did not belong."""
+    """A host's answer: a value, or else the text of an error; so many fields follow from `end`."""
 
     value: bytes | None
     error: bytes
-    clean: bool
+    end: int
+    fields: int
+
+
+class LongValue(NamedTuple):
+    """The head of an answer whose value is passed on: where the value begins, and its length."""
+
+    start: int
+    length: int
+    fields: int
 
 
 class Total(NamedTuple):
@@ -67,7 +87,7 @@
         return None
     start = head.end()
     end = start + int(head[1])
-    if end - start > MAX_VALUE:
+    if end - start > WHOLE:
         raise Spoilt("value too long")
     tail = data[end:end + 2]
     if tail != b"\r\n"[:len(tail)]:
@@ -75,8 +95,19 @@
     return (start, end) if len(tail) == 2 else None
 
 
-def command(data: bytes, at: int) -> tuple[list[bytes], int] | None:
-    """The words of the command at `at`, and where it ends."""
+def _length(data: bytes, at: int) -> tuple[int, int] | None:
+    """Where the value at `at` begins, and its length."""
+    head = _BULK.match(data, at)
+    if head is None:
+        _part(_BULK_PART, data, at, "expected a string of at most 4 MiB")
+        return None
+    if int(head[1]) > MAX_VALUE:
+        raise Spoilt("value too long")
+    return head.end(), int(head[1])
+
+
+def command(data: bytes, at: int) -> Command | None:
+    """The command at `at`, up to its body."""
     head = _COUNT.match(data, at)
     if head is None:
         _part(_COUNT_PART, data, at, "expected an array of bulk strings")
@@ -84,50 +115,64 @@
     count, first = int(head[1]), head.end()
     if not 1 <= count <= MAX_WORDS:
         raise Spoilt("wrong number of arguments")
-    words, at = [], first
-    for _ in range(count):
+    words: list[bytes] = []
+    at = first
+    for n in range(count):
         if at - first > MAX_COMMAND:
             raise Spoilt("command too long")
+        if n == BODY and n == count - 1:
+            body = _length(data, at)
+            return Command(words, *body) if body is not None else None
         place = _bulk(data, at)
         if place is None:
             return None
         words.append(data[place[0]:place[1]])
         at = place[1] + 2
-    return words, at
+    return Command(words, at, None)
 
 
-def answer(data: bytes) -> Answer | None:
+def answer(data: bytes) -> Answer | LongValue | None:
     """What a host answers: an array that begins with the value, or an error line.
 
-    The value counts once it is whole, whatever follows: figures that can't be read, noise or a second copy
-    only make the answer unclean.
+    The value counts once it is whole, whatever follows: see `fields` for that.
     """
     head = _ARRAY.match(data)
     if head is None:
         if error := _ERROR.match(data):
-            return Answer(None, error[1], error.end() == len(data))
+            return Answer(None, error[1], error.end(), 0)
         _part(_ERROR_PART if data.startswith(b"-") else _ARRAY_PART, data, 0, "neither value nor error")
         return None
+    value = _length(data, head.end())
+    if value is None:
+        return None
+    if value[1] > WHOLE:
+        # A head alone binds nothing: if nothing follows it another attempt may still serve.
+        if len(data) == value[0]:
+            return None
+        return LongValue(*value, int(head[1]) - 1)
     place = _bulk(data, head.end())
     if place is None:
         return None
     start, end = place
-    clean = (head[1] == b"3" and data[end + 2:] == NULLS) or _fields(data, end + 2, int(head[1]) - 1)
-    return Answer(data[start:end], b"", clean)
+    return Answer(data[start:end], b"", end + 2, int(head[1]) - 1)
 
 
-def _fields(data: bytes, at: int, count: int) -> bool:
-    """Whether just so many fields follow that can be read."""
+def fields(data: bytes, at: int, count: int) -> bool | None:
+    """Whether just so many fields follow that can be read; None: that may yet be."""
+    if count == 2 and data[at:] == NULLS:
+        return True
     for _ in range(count):
         if field := _FIELD.match(data, at):
             at = field.end()
             continue
+        if _FIELD_PART.fullmatch(data, at):
+            return None
         try:
             place = _bulk(data, at)
         except Spoilt:
             return False
         if place is None:
-            return False
+            return None
         at = place[1] + 2
     return at == len(data)
 
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -44,6 +44,17 @@
 
     def failed(self, request: Request) -> None: ...
 
+    def began(self, request: Request, length: int) -> None: ...
+
+    def piece(self, request: Request, data: bytes) -> None: ...
+
+    def takes(self, request: Request) -> bool:
+        return True
+
+    def ended(self, request: Request) -> None: ...
+
+    def cut(self, request: Request) -> None: ...
+
 
 def _attempt(world: World) -> Attempt:
     """An attempt of a request that the module does not know, at the first host."""
