--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -18,7 +18,7 @@
 from junipertally.node.body import Body
 from junipertally.node.counters import Ending
 from junipertally.node.gateway import MARGIN_MS, Node, Request
-from junipertally.node.resp import Spoilt, command
+from junipertally.node.resp import Spoilt, command, unsent
 from junipertally.settings import Names
 
 log = logging.getLogger(__name__)
@@ -32,7 +32,6 @@
 OWED_S = 2.0  # how long an error may wait behind requests that are still open
 IDLE_S = 6.0  # how long a client may rest
 UNREAD_S = 10.0  # how long a client may leave its answers unread
-SEND_BUFFER = 128 * 1024  # of the system, for a client: what lies there is not seen to move
 LONG_SIZE = 128 * 1024  # what a request with a long body is taken to hold: a piece, and as much again unsent
 VERBS = (b"API.READ", b"API.WRITE")
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
@@ -307,7 +306,7 @@
 
     def unread(self) -> None:
         """Close if the client has taken nothing for long; slow is not stalled."""
-        queued = self.transport.get_write_buffer_size()
+        queued = unsent(self.transport)
         if queued >= self.queued:
             return self.leave()
         self.queued = queued
@@ -416,7 +415,7 @@
     def pause_writing(self) -> None:
         """The client does not read."""
         self.blocked = True
-        self.queued = self.transport.get_write_buffer_size()
+        self.queued = unsent(self.transport)
         self.clients.note(self.clients.unread, self)
         self._flow()
 
@@ -516,7 +515,6 @@
                 resting.transport.abort()
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
             connection = ClientConnection(self)
             self.connections.add(connection)
             task = self.node.loop.create_task(self._adopt(connection, sock))
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 
 from junipertally import interface as it
 from junipertally.node.gateway import Attempt, Node
-from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, fields, pack
+from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, fields, pack, unsent
 
 STALL_S = 0.5  # how long a short answer that has begun may stand still
 VALUE_STALL_S = 4.0  # how long a long one may
 UPLOAD_STALL_S = 3.0  # how long a host may take nothing of a body that is passed on
-SEND_BUFFER = 64 * 1024  # of the system, for a body: what lies there is not seen to move
 IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
 DRAIN_MARGIN_MS = 100.0  # a late send stays this far inside the grace
 
@@ -57,9 +55,6 @@
         if body is None:
             self._written()
         else:
-            # Guards against a body that the system buffers whole: progress would show only after seconds.
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
             body.attach(self)
 
     def more(self, data: bytes) -> None:
@@ -87,7 +82,7 @@
             self._look_at_queue(True)
 
     def _look_at_queue(self, first: bool = False) -> None:
-        queued = self.transport.get_write_buffer_size()
+        queued = unsent(self.transport)
         if not first and queued >= self.queued:
             return self.close(it.Outcome.UNREACHABLE)  # the command stays short: it never runs
         self.queued = queued
--- a/junipertally/node/resp.py
+++ b/junipertally/node/resp.py
@@ -8,7 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
 import re
+import sys
+import termios
 from collections.abc import Sequence
 from typing import NamedTuple, cast
 
@@ -200,6 +204,14 @@
     return Total(float(data[place[0]:place[1]]), place[1] + 2)
 
 
+def unsent(transport: asyncio.Transport) -> int:
+    """Bytes that the other side has not taken yet, here and in the system: they show whether it moves."""
+    held = bytearray(4)
+    with contextlib.suppress(OSError):  # it is closing
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, held)
+    return transport.get_write_buffer_size() + int.from_bytes(held, sys.byteorder)
+
+
 class Outgoing(asyncio.Protocol):
     """A connection that we opened; `unsent` says whether bytes of ours have not left yet."""
 
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -118,10 +118,12 @@
             client.ask(b"1")
             reader, writer = await raw.next(world)
             await _command(reader)
+            connection, = world.parts.clients.connections
+            ours = connection.transport.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             writer.transport.set_write_buffer_limits(0)
             writer.write(served(value))
-            connection, = world.parts.clients.connections
             while not connection.blocked:
                 await asyncio.sleep(0)
             host, = world.parts.pools.pools[1].all
