--- a/junipertally/node/counter.py
+++ b/junipertally/node/counter.py
@@ -35,6 +35,7 @@
         self.counter = counter
         self.calls: deque[Call] = deque()
         self.heard = self.used = counter.node.clock.now()
+        self.began = 0.0  # when the answer that is not whole yet began to come
         self.retiring = False  # the counter has moved: it closes with its last answer
 
     def write(self, call: Call, now: float) -> None:
@@ -49,7 +50,9 @@
         """Give each answer to the call it belongs to, also to one that has timed out meanwhile."""
         if self.closed:
             return
-        self.heard = self.counter.node.clock.now()
+        self.heard = now = self.counter.node.clock.now()
+        # An answer's time is that of its first byte: how long the rest takes is the way's, not the counter's.
+        began = self.began if self.buffer else now
         data, at = self.buffer + data if self.buffer else data, 0
         try:
             while at < len(data) and (answer := total(data, at)) is not None:
@@ -57,12 +60,13 @@
                     raise Spoilt("unasked answer")
                 at = answer.end
                 if answer.total is None:
-                    self.counter.ended(self.calls.popleft(), it.Outcome.FULL, 0.0)
+                    self.counter.ended(self.calls.popleft(), it.Outcome.FULL, 0.0, began)
                 else:
-                    self.counter.ended(self.calls.popleft(), it.Outcome.OK, answer.total)
+                    self.counter.ended(self.calls.popleft(), it.Outcome.OK, answer.total, began)
                 if self.closed:
                     return
-            self.buffer = data[at:]
+                began = now
+            self.buffer, self.began = data[at:], began
         except Spoilt:
             # Guards against taking an answer for that of another call: what is out may have been added.
             return self.close()
@@ -184,11 +188,12 @@
             else:
                 self.ended(call, it.Outcome.TIMEOUT, 0.0)
 
-    def ended(self, call: Call, outcome: it.Outcome, total: float) -> None:
-        """Tell the module what came of a call, once."""
+    def ended(self, call: Call, outcome: it.Outcome, total: float, at: float | None = None) -> None:
+        """Tell the module what came of a call, once, and how long that took."""
         if not call.ended:
             call.ended = True
-            self.node.feed(it.CountAnswered(call.name, outcome, total, self.node.clock.now() - call.since))
+            took = (self.node.clock.now() if at is None else at) - call.since
+            self.node.feed(it.CountAnswered(call.name, outcome, total, max(0.0, took)))
 
     def lost(self, connection: CounterConnection) -> None:
         """Forget a connection; the next call opens another."""
