--- a/junipertally/node/counter.py
+++ b/junipertally/node/counter.py
@@ -35,7 +35,6 @@
         self.counter = counter
         self.calls: deque[Call] = deque()
         self.heard = self.used = counter.node.clock.now()
-        self.began = 0.0  # when the answer that is not whole yet began to come
         self.retiring = False  # the counter has moved: it closes with its last answer
 
     def write(self, call: Call, now: float) -> None:
@@ -50,9 +49,7 @@
         """Give each answer to the call it belongs to, also to one that has timed out meanwhile."""
         if self.closed:
             return
-        self.heard = now = self.counter.node.clock.now()
-        # An answer's time is that of its first byte: how long the rest takes is the way's, not the counter's.
-        began = self.began if self.buffer else now
+        self.heard = self.counter.node.clock.now()
         data, at = self.buffer + data if self.buffer else data, 0
         try:
             while at < len(data) and (answer := total(data, at)) is not None:
@@ -60,13 +57,12 @@
                     raise Spoilt("unasked answer")
                 at = answer.end
                 if answer.total is None:
-                    self.counter.ended(self.calls.popleft(), it.Outcome.FULL, 0.0, began)
+                    self.counter.ended(self.calls.popleft(), it.Outcome.FULL, 0.0)
                 else:
-                    self.counter.ended(self.calls.popleft(), it.Outcome.OK, answer.total, began)
+                    self.counter.ended(self.calls.popleft(), it.Outcome.OK, answer.total)
                 if self.closed:
                     return
-                began = now
-            self.buffer, self.began = data[at:], began
+            self.buffer = data[at:]
         except Spoilt:
             # Guards against taking an answer for that of another call: what is out may have been added.
             return self.close()
@@ -188,12 +184,11 @@
             else:
                 self.ended(call, it.Outcome.TIMEOUT, 0.0)
 
-    def ended(self, call: Call, outcome: it.Outcome, total: float, at: float | None = None) -> None:
-        """Tell the module what came of a call, once, and how long that took."""
+    def ended(self, call: Call, outcome: it.Outcome, total: float) -> None:
+        """Tell the module what came of a call, once."""
         if not call.ended:
             call.ended = True
-            took = (self.node.clock.now() if at is None else at) - call.since
-            self.node.feed(it.CountAnswered(call.name, outcome, total, max(0.0, took)))
+            self.node.feed(it.CountAnswered(call.name, outcome, total, self.node.clock.now() - call.since))
 
     def lost(self, connection: CounterConnection) -> None:
         """Forget a connection; the next call opens another."""
