--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -140,6 +140,7 @@
         self._perform: dict[type, Callable[..., None]] = {
             it.Send: self._send, it.Cancel: self._cancel, it.Refuse: self._refuse, it.Fail: self._fail,
             it.Count: lambda a, now: self.counter.call(a.name, a.amount, a.ttl), it.SetTimer: self._set_timer,
+            it.WatchList: lambda a, now: None,  # discovery is watched in any case
             it.Note: lambda a, now: log.info("module: %s", a.text)}
 
     def ready(self) -> bool:
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Any
 
+import pytest
+
 from junipertally import interface as it
 from junipertally.node import counter as counter_module
 from junipertally.node import discovery as discovery_module
@@ -287,6 +289,18 @@
     run(main())
 
 
+def test_a_wish_to_watch_the_list_is_no_error_as_it_is_watched_in_any_case(
+        caplog: pytest.LogCaptureFixture) -> None:
+    async def main() -> None:
+        async with World(lambda words: served(), wire={"discovery": "ask"}) as world:
+            client = await world.client()
+            client.ask(b"1")
+            assert await client.answer() == b"value"
+
+    run(main())
+    assert not caplog.records
+
+
 def test_an_action_for_a_request_that_has_ended_changes_nothing() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
