--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -31,7 +31,7 @@
 CALM = 0.25  # part of the time-out that calls may wait at the counter; beyond it they are thinned
 NEWS_SHARE = 0.25  # part of the burst that news is weighed against where a customer's store is empty
 SURE_MS = 100.0  # so long a total may tell that a store is short, if nobody has taken of it since
-CROWD_MOST = 4.0  # failed calls in a row count as one time-out, two and so on, up to this many
+CROWD_MOST = 4.0  # a failed call counts as this many time-outs
 CROWD_FADE_MS = 5000.0  # crowding is forgotten over this, so that calls come back after an outage
 MEMORY_MS = 3000.0  # averages of rates and latencies forget over this
 IDLE_MS = 120_000.0  # a customer without a rate that is unseen for this long is forgotten
@@ -330,7 +330,6 @@
         self.counts_open = settings.counter and 4 * most <= self.base and settings.gateway < settings.gateways
         self.bank = RETRY_BANK
         self.crowd, self.crowd_at = 0.0, 0.0  # how crowded the counter is, in time-outs
-        self.lost = 0  # calls that failed in a row
         self.way = math.inf  # the least time that an answer of the counter took
         self.need = 1.0  # how much there is to tell and to learn about a try's customer, on average
         self.started: float | None = None
@@ -662,12 +661,10 @@
         who = self.customers.get((event.name % OPEN_NAMES) >> 30)
         ok = event.outcome is Outcome.OK
         if now - event.elapsed >= self.own_since and event.outcome is not Outcome.RESET:
-            # Single calls get lost, a crowd fails one after another: failures in a row weigh ever more. A far
+            # A failed call weighs as much as an answered one: single ones get lost, a crowd fails most. A far
             # counter is not a crowded one: what counts is the wait beyond the least time an answer took.
             self.way = min(self.way, event.elapsed) if ok else self.way
-            self.lost = 0 if ok else self.lost + 1
-            took = (event.elapsed - self.way) / max(1.0, self.set.counter_timeout_ms) if ok else \
-                min(CROWD_MOST, float(self.lost))
+            took = (event.elapsed - self.way) / max(1.0, self.set.counter_timeout_ms) if ok else CROWD_MOST
             self.crowd += 2 * GAIN * (took - self.crowd)
         if event.name >= OPEN_NAMES:
             return self._open_counted(now, event, who)
