--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -28,7 +28,7 @@
 OPEN_SPAN = 1 << 20  # their totals stay under this, a place for each gateway: so far totals are exact
 OPEN_NAMES = 1 << 63  # their names begin here, above those of units
 DENIED_MOST = 8.0  # a cap found used up is asked about more rarely, up to so many usual answer times
-CALM = 0.25  # part of the time-out that calls may wait at the counter; beyond it they are thinned
+CALM = 0.25  # part of the time-out that the counter may take to answer; beyond it calls are thinned
 NEWS_SHARE = 0.25  # part of the burst that news is weighed against where a customer's store is empty
 SURE_MS = 100.0  # so long a total may tell that a store is short, if nobody has taken of it since
 CROWD_MOST = 4.0  # a failed call counts as this many time-outs
@@ -330,7 +330,6 @@
         self.counts_open = settings.counter and 4 * most <= self.base and settings.gateway < settings.gateways
         self.bank = RETRY_BANK
         self.crowd, self.crowd_at = 0.0, 0.0  # how crowded the counter is, in time-outs
-        self.way = math.inf  # the least time that an answer of the counter took
         self.need = 1.0  # how much there is to tell and to learn about a try's customer, on average
         self.started: float | None = None
         self.in_service, self.twin = True, False  # twin: another process counts at our place
@@ -661,10 +660,8 @@
         who = self.customers.get((event.name % OPEN_NAMES) >> 30)
         ok = event.outcome is Outcome.OK
         if now - event.elapsed >= self.own_since and event.outcome is not Outcome.RESET:
-            # A failed call weighs as much as an answered one: single ones get lost, a crowd fails most. A far
-            # counter is not a crowded one: what counts is the wait beyond the least time an answer took.
-            self.way = min(self.way, event.elapsed) if ok else self.way
-            took = (event.elapsed - self.way) / max(1.0, self.set.counter_timeout_ms) if ok else CROWD_MOST
+            # A failed call weighs as much as an answered one: single ones get lost, a crowd fails most.
+            took = event.elapsed / max(1.0, self.set.counter_timeout_ms) if ok else CROWD_MOST
             self.crowd += 2 * GAIN * (took - self.crowd)
         if event.name >= OPEN_NAMES:
             return self._open_counted(now, event, who)
