--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -170,7 +170,7 @@
     pools = node.hosts = HostPools(node, config.idle_ms, int(budget * HOSTS_PART))
     counter = node.counter = Counter(node, config.counter) if config.counter else NoCounter()
     clients = Clients(node, config.names, budget - pools.budget, config.max_open, config.memory_mb)
-    discovery = Discovery(node, pools, config.names.zones, config.discovery)
+    discovery = Discovery(node, pools, config.names.zones, config.discovery, config.seed)
     if config.known is not None:
         try:
             discovery.apply(config.known, cached=True)
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -318,6 +318,8 @@
 
     def part(self) -> None:
         """Close between requests; one that has come and was not read yet is served first."""
+        if self.transport.is_closing():
+            return
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         if not self.pending and self.body is None and not poll.poll(0):
--- a/junipertally/node/control.py
+++ b/junipertally/node/control.py
@@ -16,6 +16,7 @@
 CONNECTIONS = 32  # at once; one more ends the one that has waited longest
 ACCEPT_AT_ONCE = 8  # taken in one turn of the loop: a call is read before a crowd behind it pushes it out
 CALL_S = 2.5  # how long a call may take to come whole
+ACCEPT_PAUSE_S = 0.1  # wait after an accept that failed for want of a descriptor
 LINGER_S = 0.5  # how long a caller may take to read its answer
 MAX_CALL = 8192  # bytes of a whole call
 
@@ -112,7 +113,7 @@
         """Listen on one address only."""
         self.listener = socket.create_server(address, backlog=128)
         self.listener.setblocking(False)
-        self.loop.add_reader(self.listener, self._accept)
+        self._listen_on()
         host, port = self.listener.getsockname()
         return host, port
 
@@ -122,8 +123,14 @@
                 return
             try:
                 sock, _ = self.listener.accept()
-            except OSError:
-                return  # nobody waits, or the next turn tries again
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                # Guards against a shortage of descriptors filling the loop with failures.
+                log.warning("control: %s", error.strerror)
+                self.loop.remove_reader(self.listener)
+                self.loop.call_later(ACCEPT_PAUSE_S, self._listen_on)
+                return
             if len(self.calls) >= CONNECTIONS:
                 self._end(next(iter(self.calls)))
             sock.setblocking(False)
@@ -133,6 +140,10 @@
             self.tasks.add(task)  # the loop holds tasks only weakly
             task.add_done_callback(self.tasks.discard)
 
+    def _listen_on(self) -> None:
+        if self.listener is not None:
+            self.loop.add_reader(self.listener, self._accept)
+
     async def _adopt(self, call: Call, sock: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: call, sock)
--- a/junipertally/node/discovery.py
+++ b/junipertally/node/discovery.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import math
+import random
 from typing import Any
 
 import httptools
@@ -55,7 +56,7 @@
     """One task that keeps a watch open and hands on what it tells."""
 
     def __init__(self, node: Node, pools: HostPools, zones: tuple[str, ...],
-                 address: tuple[str, int]) -> None:
+                 address: tuple[str, int], seed: int) -> None:
         self.node, self.pools, self.address = node, pools, address
         self.zones = {name: n for n, name in enumerate(zones)}
         self.numbers: dict[str, int] = {}  # host name -> the module's number, never given twice
@@ -64,6 +65,7 @@
         self.last_number = self.last_cell = 0
         pools.forgotten = self._forget
         self.seq: int | None = None
+        self.rng = random.Random(seed)
         self.older = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -167,9 +169,13 @@
                     log.warning("discovery: %r", error)
                 self._hang_up()
                 failing = True
-                await asyncio.sleep(pause / 1000)
+                await asyncio.sleep(self._spread(pause) / 1000)
                 pause = min(RETRY_MOST_MS, 2 * pause)
 
+    def _spread(self, pause: float) -> float:
+        """A pause of this gateway's own: many that come back in step would fail in step."""
+        return pause * (0.5 + self.rng.random())
+
     async def _get(self, path: str, patience_ms: float) -> Any:
         async with asyncio.timeout(patience_ms / 1000):
             if self.writer is None or self.reader is None:
--- a/junipertally/node/resp.py
+++ b/junipertally/node/resp.py
@@ -207,7 +207,9 @@
 def unsent(transport: asyncio.Transport) -> int:
     """Bytes that the other side has not taken yet, here and in the system: they show whether it moves."""
     held = bytearray(4)
-    with contextlib.suppress(OSError):  # it is closing
+    if transport.is_closing():
+        return transport.get_write_buffer_size()
+    with contextlib.suppress(OSError):  # the other side has broken it
         fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, held)
     return transport.get_write_buffer_size() + int.from_bytes(held, sys.byteorder)
 
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import socket
 from typing import Any
@@ -185,6 +186,49 @@
     run(main())
 
 
+def test_a_shortage_of_descriptors_is_waited_out() -> None:
+    async def main() -> None:
+        class Failing:
+            """A listener that fails once for want of a descriptor."""
+
+            def __init__(self, real: socket.socket) -> None:
+                self.real, self.failed = real, asyncio.Event()
+
+            def accept(self) -> Any:
+                if not self.failed.is_set():
+                    self.failed.set()
+                    raise OSError(errno.EMFILE, "Too many open files")
+                return self.real.accept()
+
+            def __getattr__(self, name: str) -> Any:
+                return getattr(self.real, name)
+
+        async with World(lambda words: served()) as world:
+            listener = world.parts.control.listener
+            assert listener is not None
+            failing = Failing(listener)
+            world.parts.control.listener = failing  # type: ignore[assignment]
+            assert (await world.control("/control/ready"))[0] == 200
+            assert failing.failed.is_set()
+
+    run(main())
+
+
+def test_a_connection_that_is_closing_is_not_closed_again() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            client = await world.client()
+            client.send(b"PING")
+            assert await client.answer() == b"PONG"
+            connection, = world.parts.clients.connections
+            connection.leave()
+            world.parts.clients._part()
+            connection.unread()
+            assert await soon(client.reader.read()) == b""
+
+    run(main())
+
+
 def test_the_module_skips_suspect_and_draining_hosts_and_is_ready_only_with_a_host() -> None:
     drive = Drive(settings(counter=False, limits=LIMITS), fleet=3)
     assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready(drive.now)) == (3, 0, True)
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -155,7 +155,7 @@
         self.lists: asyncio.Queue[it.HostList] = asyncio.Queue()
         world.parts.node.feed = self._feed  # type: ignore[method-assign]
         self.pools, self.agent = world.parts.pools, agent
-        self.discovery = Discovery(world.parts.node, self.pools, ("east", "west"), agent.address)
+        self.discovery = Discovery(world.parts.node, self.pools, ("east", "west"), agent.address, 7)
 
     def _feed(self, event: it.Event) -> None:
         if isinstance(event, it.HostList):
@@ -242,6 +242,18 @@
     run(_watching(test))
 
 
+def test_gateways_come_back_to_discovery_out_of_step() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            node, pools = world.parts.node, world.parts.pools
+            fleet = [Discovery(node, pools, ("east",), ("127.0.0.1", 1), seed) for seed in range(40)]
+            pauses = sorted(discovery._spread(1000.0) for discovery in fleet)
+            assert 500.0 <= pauses[0] < 600.0 and 1400.0 < pauses[-1] <= 1500.0
+            assert max(late - early for early, late in zip(pauses, pauses[1:], strict=False)) < 150.0
+
+    run(main())
+
+
 def test_a_timer_that_the_loop_runs_early_still_comes_in_time_for_the_module() -> None:
     async def main() -> None:
         async with World() as world:
