--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import re
 import socket
@@ -166,6 +167,22 @@
     return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
 
 
+class FailingListener:
+    """A listener that fails once for want of a descriptor."""
+
+    def __init__(self, real: socket.socket) -> None:
+        self.real, self.failed = real, asyncio.Event()
+
+    def accept(self) -> Any:
+        if not self.failed.is_set():
+            self.failed.set()
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self.real.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+
 class Held:
     """A host that serves nothing until it is released."""
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import errno
-import socket
 from typing import Any
 
 import pytest
@@ -13,7 +11,7 @@
 from junipertally import interface as it
 from junipertally.node import clients as clients_module
 from junipertally.node.resp import pack
-from tests.sockets import Client, Held, Peer, World, run, served, soon
+from tests.sockets import Client, FailingListener, Held, Peer, World, run, served, soon
 
 
 def _silent(words: list[bytes]) -> bytes | None:
@@ -336,25 +334,10 @@
 
 def test_accepting_goes_on_after_descriptors_ran_out() -> None:
     async def main() -> None:
-        class Failing:
-            """A listener whose first accept finds no descriptor."""
-
-            def __init__(self, real: socket.socket) -> None:
-                self.real, self.failed = real, asyncio.Event()
-
-            def accept(self) -> Any:
-                if not self.failed.is_set():
-                    self.failed.set()
-                    raise OSError(errno.EMFILE, "Too many open files")
-                return self.real.accept()
-
-            def __getattr__(self, name: str) -> Any:
-                return getattr(self.real, name)
-
         async with World(lambda words: served()) as world:
             listener = world.parts.clients.listener
             assert listener is not None
-            failing = Failing(listener)
+            failing = FailingListener(listener)
             world.parts.clients.listener = failing  # type: ignore[assignment]
             client = await world.client()
             client.ask(b"1")
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import socket
 from typing import Any
@@ -16,7 +15,7 @@
 from junipertally.node.resp import pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.helpers import hosts as host_list
-from tests.sockets import Held, Peer, World, call, control, run, served, soon
+from tests.sockets import FailingListener, Held, Peer, World, call, control, run, served, soon
 
 
 def test_the_figures_add_up_whichever_way_a_request_ends_and_show_zeros_from_the_start() -> None:
@@ -188,25 +187,10 @@
 
 def test_a_shortage_of_descriptors_is_waited_out() -> None:
     async def main() -> None:
-        class Failing:
-            """A listener that fails once for want of a descriptor."""
-
-            def __init__(self, real: socket.socket) -> None:
-                self.real, self.failed = real, asyncio.Event()
-
-            def accept(self) -> Any:
-                if not self.failed.is_set():
-                    self.failed.set()
-                    raise OSError(errno.EMFILE, "Too many open files")
-                return self.real.accept()
-
-            def __getattr__(self, name: str) -> Any:
-                return getattr(self.real, name)
-
         async with World(lambda words: served()) as world:
             listener = world.parts.control.listener
             assert listener is not None
-            failing = Failing(listener)
+            failing = FailingListener(listener)
             world.parts.control.listener = failing  # type: ignore[assignment]
             assert (await world.control("/control/ready"))[0] == 200
             assert failing.failed.is_set()
