--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -5,10 +5,12 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -158,3 +160,17 @@
             server.close()
 
     run(main())
+
+
+def test_the_build_compiles_the_program_so_that_a_start_need_not(tmp_path: Path) -> None:
+    root = Path(__file__).parent.parent
+    shutil.copytree(root / "junipertally", tmp_path / "junipertally",
+                    ignore=shutil.ignore_patterns("__pycache__"))
+    python = tmp_path / ".venv" / "bin" / "python"
+    python.parent.mkdir(parents=True)
+    python.write_text(f'#!/bin/sh\nexec "{sys.executable}" "$@"\n')
+    python.chmod(0o755)
+    build = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["build"]
+    subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, check=True, timeout=60)
+    compiled = {path.name.partition(".")[0] for path in tmp_path.rglob("*.pyc")}
+    assert compiled == {path.stem for path in (tmp_path / "junipertally").rglob("*.py")}
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
 import socket
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -26,6 +28,20 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+STARTED: list[asyncio.subprocess.Process] = []
+
+
+@pytest.fixture(autouse=True)
+def _no_process_is_left() -> Iterator[None]:
+    """A test that fails leaves no process behind."""
+    yield
+    for process in STARTED:
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGKILL)
+    STARTED.clear()
+
+
 class Gateway:
     """A process on the listener that the test holds."""
 
@@ -37,7 +53,7 @@
     async def start(self) -> Gateway:
         path = self.folder / f"{self.control[1]}.json"
         path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:1", "seed": "2a", "settings": WIRE,
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "2a", "settings": WIRE,
             "limits": {"memory_mb": 192, "sockets": 256}, "control": f"127.0.0.1:{self.control[1]}"}
             | self.change))
         run_in = self.folder / "run"
@@ -46,6 +62,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE, pass_fds=[fd],
             env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)})
+        STARTED.append(self.process)
         self.lines: list[bytes] = []
         await self.line(b"listening on 127.0.0.1:%d" % self.listener.getsockname()[1])
         return self
