One shared count of open attempts where the fleet is too large for a place each

Cause: `counts_open` was off wherever the totals have no room for a place for each gateway (from 14 on), and an even split with one slot each at the least lets a cap of 2 become one of 25 to 39. Now all share one place there, each by its own sum; a call whose answer is lost is taken for added until the window is over.

--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -325,9 +325,12 @@
         self.tiers = Tiers(settings)
         self.typical = [[c.aim_ms / 6, c.aim_ms / 12] for c in settings.classes]
         self.pool = [(0.5 * settings.counter, 2.0) for _ in settings.plans]  # share let in by plan, sample
-        self.base = int(OPEN_SPAN ** (1 / max(1, settings.gateways)))  # of places in open counts
         most = max((plan.parallel for plan in settings.plans), default=0)
-        self.counts_open = settings.counter and 4 * most <= self.base and settings.gateway < settings.gateways
+        self.places, self.place = max(1, settings.gateways), settings.gateway  # in open counts
+        self.base = int(OPEN_SPAN ** (1 / self.places))
+        if 4 * most > self.base or self.place >= self.places:
+            self.places, self.place, self.base = 1, 0, OPEN_SPAN  # no room for a place each: all share one
+        self.shared = self.places < settings.gateways
         self.bank = RETRY_BANK
         self.crowd, self.crowd_at = 0.0, 0.0  # how crowded the counter is, in time-outs
         self.need = 1.0  # how much there is to tell and to learn about a try's customer, on average
@@ -734,11 +737,11 @@
         if not who.plan.parallel:
             return
         who.queue = [req for req in who.queue if req.id in self.open]
-        if not self.counts_open:
+        if not self.set.counter:
             who.slots = who.own_slots
         while who.queue and who.out < who.slots:
             self._first(now, who.queue.pop(0))
-        if self.counts_open and who.asked_open is None:
+        if self.set.counter and who.asked_open is None:
             self._count_open(now, who)
 
     def _count_open(self, now: float, who: Customer) -> None:
@@ -756,33 +759,35 @@
             return self._without_count(now, who)
         if want or amount < 0 or (not thinned and (amount or (who.unsure and may))):
             who.asked_open = (window, amount, want > 0)
-            place = float(self.base ** self.set.gateway)
+            place = float(self.base ** self.place)
             self.acts.append(it.Count(OPEN_NAMES + self._name(who, window), amount * place, 2 * OPEN_MS))
 
     def _open_counted(self, now: float, event: it.CountAnswered, who: Customer | None) -> None:
         """Take the slots that others leave; what was claimed beyond these is given back at once.
 
         Each gateway counts at a place of its own in the total, so that it sees what the count holds of it:
-        a call whose answer was lost may have been added or not, as often one as the other.
+        a call whose answer was lost may have been added or not, as often one as the other. Where there are
+        too many gateways for that all count at one place, each by its own sum, and a lost call is taken for
+        added: until the window is over that leaves a slot too few or too many.
         """
         if who is None or who.asked_open is None:
             return
         (window, amount, claims), who.asked_open = who.asked_open, None
         if event.outcome is not Outcome.OK:
             if event.outcome not in (Outcome.FULL, Outcome.UNREACHABLE) and window == who.open_window:
-                who.told, who.unsure = who.told + amount, True
+                who.told, who.unsure = who.told + amount, not self.shared
             # Guards against calls that a refusing counter answers at once being repeated at once.
             who.quiet_until = now + BEAT_MS * (1 + who.denied)
             return self._without_count(now, who)
         mine, others, rest = 0, 0, round(event.total)
-        for gateway in range(max(1, self.set.gateways)):
+        for place in range(self.places):
             held = (rest + self.base // 2) % self.base - self.base // 2
             rest = (rest - held) // self.base
-            if gateway == self.set.gateway:
+            if place == self.place:
                 mine = held
             else:
                 others += max(0, held)
-        if self.twin:  # what the place holds beyond our own sum is the other process's
+        if self.twin or self.shared:  # what the place holds beyond our own sum is another's
             own = who.told + amount
             mine, others = own, others + max(0, mine - own)
         if window == who.open_window:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,6 +8,8 @@
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
+
 from junipertally import interface as it
 from junipertally.logic import TARGET, Customer, Gateway, Tiers
 from tests.helpers import LIMITS, PLAN, SAFE, Drive, hosts, of, settings
@@ -419,6 +421,35 @@
     assert held() == 0
 
 
+@pytest.mark.parametrize("gateways", [3, 48])
+def test_a_cap_on_open_attempts_holds_over_a_fleet_of_any_size(gateways: int) -> None:
+    """Days at size: without room for a place each, 40 gateways let through an attempt each."""
+    plan = replace(PLAN, rate=0, parallel=2)
+    drives = [Drive(settings(plans=(plan,), gateways=gateways, gateway=n)) for n in range(gateways)]
+    totals: dict[int, float] = {}
+    out: list[tuple[Drive, it.Send]] = []
+    served = 0
+
+    def settle(drive: Drive, actions: list[it.Action]) -> None:
+        out.extend((drive, send) for send in of(actions, it.Send))
+        assert len(out) <= 2
+        for call in of(actions, it.Count):
+            totals[call.name] = totals.get(call.name, 0.0) + call.amount
+            settle(drive, drive.count(call, totals[call.name]))
+
+    for drive in drives:
+        settle(drive, drive.arrive(spread=float(gateways))[1])
+    assert len(out) == 2
+    for _ in range(40):
+        while out:
+            drive, send = out.pop()
+            served += 1
+            settle(drive, drive.end(send, it.Outcome.OK))
+        for drive in drives:
+            settle(drive, drive.beats(20.0))
+    assert served >= 3 and set(totals.values()) == {0.0}, "slots are used again, and none is left behind"
+
+
 def test_a_counter_that_refuses_at_once_is_not_called_about_open_attempts_again_and_again() -> None:
     """A release was repeated at each refusal, thousands of times within an outage."""
     drive = Drive(settings(plans=(replace(PLAN, rate=0, parallel=2),)))
@@ -466,6 +497,8 @@
 
 SCRIPT = """
 from tests.helpers import Drive, settings, of
+import pytest
+
 from junipertally import interface as it
 d = Drive(settings(), fleet=9)
 for n in range(300):
