Let a host's errors weigh as ten slow answers: quick ones drew its near gateways

An error counted as an answer of twice the usual time: the host was the first free one again at once. Fault: the ratio given for ERROR in `_learn`. Ruled out: spoilt answers (these came as `-ERR failed` of the same seven hosts).

--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -950,7 +950,8 @@
             aim = max(1.0, req.klass.aim_ms)
             self.tiers.note(host.id, sent, True, now - req.arrived > aim, event.elapsed / aim)
         elif outcome in (Outcome.FULL, Outcome.ERROR):
-            self._heard(now, host, 4.0 if outcome is Outcome.FULL else 2.0)
+            # An error costs a request, perhaps its only attempt: quick ones would draw the traffic here.
+            self._heard(now, host, 4.0 if outcome is Outcome.FULL else 10.0)
         elif outcome is Outcome.RESET:
             self._cut_off(now, host)
         elif outcome in (Outcome.TIMEOUT, Outcome.UNREACHABLE):
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -565,6 +565,22 @@
     assert len(used) == 3
 
 
+def test_a_host_that_answers_with_errors_is_left_alone_for_a_while() -> None:
+    """Days at size: of those near to a gateway a host with quick errors got a request in four."""
+    drive = Drive(settings(plans=(replace(PLAN, rate=0),), gateways=40, gateway=5), fleet=20)
+    bad = of(drive.arrive()[1], it.Send)[0]
+    drive.end(bad, it.Outcome.ERROR, elapsed=2.0)
+    sent = []
+    for _ in range(20):
+        drive.now += 200.0
+        send = of(drive.arrive()[1], it.Send)[0]
+        sent.append(send.host)
+        drive.end(send, it.Outcome.ERROR if send.host == bad.host else it.Outcome.OK)
+    assert sent.count(bad.host) <= 1
+    drive.now += 10_000.0
+    assert of(drive.arrive()[1], it.Send)[0].host == bad.host, "and looked at again later"
+
+
 def test_a_suspect_host_is_tried_again() -> None:
     """Incidents i2cf20c and i915d05: suspects starved, most of a well fleet unused for the rest of a day."""
     drive = Drive(settings(plans=()), fleet=3)
