Tell the count what ran over full stores; grant no denied claim for want of a call

Cause: a gateway that first sees a customer in mid-window can't tell from the window's sum when the units were used, and took the window's age for refill (`learn`, since = the window's start): at size nearly every try is such a first. Now the count shows what the store holds: refill that finds it full is told by whoever sees it, units let in beyond an empty one are taken off again, and the window's first comer carries the last one's debt at once. Two that tell the same see it by the answer, the later one takes it back. The second cause, found beside it: a claim that the count had just denied got a slot when the next call was thinned (119 of 186 such units beyond the cap), in `_count_open`.

--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -23,7 +23,7 @@
 BEAT_MS = 20.0  # margin to deadlines and pause between looks at held requests: short against aims
 STALL_MS = 200.0  # a timer this late shows that the gateway itself stood still: times measured are its own
 WINDOW_BURSTS = 3.0  # window in burst / rate: a new one hides what the last used, a long one what was idle
-CARRY_AT = 0.5  # part of the burst asked in a window at which the last window's debt is carried into it
+SPILL_LEAST = 0.25  # part of the burst that the count must be off before a call is spent on that
 OPEN_MS = 15_000.0  # window of the counts of open attempts: what a dead gateway held blocks no longer
 OPEN_SPAN = 1 << 20  # their totals stay under this, a place for each gateway: so far totals are exact
 OPEN_NAMES = 1 << 63  # their names begin here, above those of units
@@ -114,10 +114,10 @@
     """
 
     __slots__ = ("key", "plan", "spread", "span", "level", "base", "at", "used_at", "others", "window",
-                 "total", "read_at", "pending", "owed", "call", "carry", "waiting", "share", "credit",
-                 "mirrored", "unpaid", "ceiling_rate", "ceiling", "ceiling_at", "out", "queue", "keep_ms",
-                 "own_slots", "slots", "told", "open_window", "asked_open", "ask_at", "denied", "unsure",
-                 "quiet_until")
+                 "total", "read_at", "pending", "owed", "call", "carry", "amiss", "amiss_in", "waiting",
+                 "share", "credit", "mirrored", "unpaid", "ceiling_rate", "ceiling", "ceiling_at", "out",
+                 "queue", "keep_ms", "own_slots", "slots", "told", "open_window", "asked_open", "ask_at",
+                 "denied", "unsure", "quiet_until")
 
     def __init__(self, key: int, plan: it.Plan, spread: float, now: float, started: float) -> None:
         self.key, self.plan, self.spread = key, plan, max(1.0, spread)
@@ -126,8 +126,11 @@
         self.at, self.used_at, self.others = now, now, plan.rate * (1.0 - 1.0 / self.spread)
         self.window, self.total, self.read_at = -1, 0.0, -math.inf
         self.pending, self.owed = 0.0, 0.0  # not reported yet; the last window's debt, to be carried over
-        self.call: tuple[int, float, float, int] | None = None  # out: window, amount, tries' units, tries
+        # Out: window, amount, tries' units, tries, and of the amount what was let in and what puts it right.
+        self.call: tuple[int, float, float, int, float, float] | None = None
         self.carry = -1  # the window whose total was asked for, to carry its debt
+        self.amiss = 0.0  # what the count must be told so that it shows what the store holds
+        self.amiss_in = -1  # the window that this is about
         self.waiting: list[Try] = []
         self.share, self.credit = 1.0, 0.0
         self.mirrored = False  # whether the level came along from the last window
@@ -159,9 +162,11 @@
     def learn(self, now: float, window: int, amount: float, asked: float, total: float) -> None:
         """Set the level by a total, from the last one on or else from the window's start, when it is full.
 
-        A total that fell by more than give-backs do means lost counts: the level goes on as it was.
+        Others may have told what ran over since our last total: then the whole window's sum shows more. A
+        total that fell by more than give-backs do means lost counts: the level goes on as it was.
         """
         plan, start = self.plan, window * self.span
+        whole = plan.burst + plan.rate * (now - start) / 1000 - total + asked
         since, before, base = start, 0.0, plan.burst
         if window == self.window:
             since, before, base = self.read_at, self.total, self.base
@@ -171,7 +176,9 @@
             base = min(plan.burst, self.base + idle) if self.mirrored else base
         news, dt = total - before, max(1.0, now - since)
         if news >= amount - max(2.0, plan.burst / 2):
-            self.base = self._settle(base + plan.rate * dt / 1000 - news + asked, news, dt) - asked
+            held = self._settle(base + plan.rate * dt / 1000 - news + asked, news, dt)
+            first = total - amount < 0.5  # nobody has told yet what the last window left
+            self.base = max(held, 0.0 if first else min(plan.burst, whole)) - asked
             self.level = self.base + asked - self.pending
             weight = 1 - math.exp(-dt / MEMORY_MS) if window == self.window else 1.0
             self.others += weight * (max(0.0, news - amount) * 1000 / dt - self.others)
@@ -188,6 +195,25 @@
         self.unpaid = max(0.0, self.unpaid - back - self.plan.rate * dt / 1000) + max(0.0, -held)
         return max(0.0, min(self.plan.burst, held))
 
+    def put_right(self, now: float, window: int, amount: float, total: float, told: float,
+                  mended: float) -> None:
+        """See by how much the count is off: it knows neither of a full store nor of an empty one.
+
+        What refills a full store runs over: told, it shows all gateways alike what the store holds, else one
+        that sees a customer first in mid-window takes what others just used for long refilled. What was let
+        in beyond an empty store took nothing of it. Two that saw the same find out by the answer, and the
+        later one takes its part back.
+        """
+        full, least = self.plan.rate * (now - window * self.span) / 1000, SPILL_LEAST * self.plan.burst
+        over, self.amiss_in = full - (total - amount), window
+        if mended > 0.0:
+            self.amiss = -mended if full - (total - mended) < mended / 2 else 0.0
+        else:
+            self.amiss = over if over >= least else 0.0
+            short = min(told, total - amount + told - full - self.plan.burst)
+            if short >= 0.5:
+                self.amiss = -short
+
     def need(self, now: float, units: float) -> float:
         """How much a call would tell and teach, 0 to 1: news on both sides, against what the store holds."""
         news = self.pending + units
@@ -663,8 +689,10 @@
         if who.window >= 0 and who.share < 0.5 and who.level < asked:
             asked = 0.0
         told = min(who.pending, who.plan.burst)  # an outage leaves no more behind than a full store
-        amount = asked + told + who.owed
-        who.pending, who.owed, who.call = 0.0, 0.0, (window, amount, asked, len(who.waiting))
+        amiss = who.amiss if who.amiss_in == window else 0.0
+        amount = asked + told + who.owed + amiss
+        who.call = window, amount, asked, len(who.waiting), told, amiss
+        who.pending = who.owed = who.amiss = 0.0
         self.acts.append(it.Count(self._name(who, window), amount, min(60_000.0, 2 * who.span)))
 
     def _name(self, who: Customer, window: int) -> int:
@@ -682,27 +710,28 @@
             return self._open_counted(now, event, who)
         if who is not None and who.carry >= 0 and event.name == self._name(who, who.carry - 1):
             if ok:
-                who.owed = min(who.plan.burst, max(0.0, event.total - who.plan.rate * who.span / 1000))
+                refilled = who.plan.rate * (who.span + now - who.carry * who.span) / 1000
+                who.owed = min(who.plan.burst, max(0.0, event.total - refilled))
             return self._call(now, who) if who.owed >= 0.5 else None
         if who is None or who.call is None:
             return
-        window, amount, asked, count = who.call
+        window, amount, asked, count, told, amiss = who.call
         who.call = None
         who.advance(now)
         due, who.waiting = who.waiting[:count], who.waiting[count:]
         if ok:
             who.learn(now, window, amount, asked, event.total)
-            line = CARRY_AT * who.plan.burst
-            if not who.mirrored and event.total - amount < line <= event.total:
-                # Whoever crosses the line, one gateway of all, carries what the last window used too much.
+            who.put_right(now, window, amount, event.total, told, amiss)
+            if event.total - amount < 0.5 and window != who.carry and amount > 0.0:
+                # Whoever comes first, one gateway of all, carries what the last window used too much.
                 who.carry = window
                 self.acts.append(it.Count(self._name(who, window - 1), 0.0, 1.0))
         added = event.outcome not in (Outcome.FULL, Outcome.UNREACHABLE)
         if not added:
-            who.pending += amount - asked  # told with the next call
+            who.pending += amount - asked - amiss  # told with the next call
         for req in due:
             self._decide(now, req, who, ok, asked > 0 and added)
-        if who.waiting or who.owed >= 0.5 or (who.pending and ok):
+        if who.waiting or who.owed >= 0.5 or ((who.pending or who.amiss) and ok):
             self._call(now, who)
 
     def _decide(self, now: float, req: Try, who: Customer, ok: bool, counted: bool) -> None:
@@ -768,7 +797,8 @@
         amount = who.out + want - who.told
         thinned = self._calls_share(now) < self.rng.random()
         if want and thinned:
-            return self._without_count(now, who)
+            # What the count last denied is not granted for want of a newer word.
+            return self._denied(now, who, True) if who.denied else self._without_count(now, who)
         if want or amount < 0 or (not thinned and (amount or (who.unsure and may))):
             who.asked_open = (window, amount, want > 0)
             place = float(self.base ** self.place)
