Ask discovery in step with the fleet's size, and watch from the known version

Cause: discovery serves calls in turn and fails those that wait too long; a pause of 1 s at most for each gateway, whatever their number, kept it overbooked (`RETRY_MOST_MS`), and `apply` threw away the version of the known list. Now the pause grows with the number of gateways (0.3 s at 3, 4 s at 40, doubled up to 2.5 times that), a start takes its list from `known` and watches from there, out of step with other starts, unless that list is empty or damaged; a successor in a handover asks at once.

--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -248,7 +248,7 @@
             carry_on(parts, state)
     if config.control is not None:  # not earlier: a successor must not say yes to what it has yet to learn
         log.info("control: listening on %s:%d", *parts.control.listen(config.control))
-    parts.discovery.start()
+    parts.discovery.start(at_once=listener is not None)  # a successor is to be ready soon, and not stale
     loop.add_signal_handler(signal.SIGHUP, reload, os.environ["EDGE_CONFIG"], parts)
     if handover is not None:
         handover.start()
--- a/junipertally/node/discovery.py
+++ b/junipertally/node/discovery.py
@@ -21,8 +21,11 @@
 
 WAIT_MS = 5000  # how long a watch may wait: bounds how long a silent agent goes unnoticed
 PATIENCE_MS = 1500  # how much later than that an answer may come
-RETRY_MS = 100.0  # pause after a call that failed, doubled up to the limit below
-RETRY_MOST_MS = 1000.0
+# One service answers all gateways, each call in its turn, and one that waits too long fails: the more
+# gateways there are, the longer each waits before it asks again.
+RETRY_MS = 100.0  # pause after a call that failed, for each gateway; doubled up to the limit below
+RETRY_MOST_MS = 250.0
+START_MS = 75.0  # who knows hosts asks first within this time for each gateway: many start at once
 OLDER_MOST = 3  # whole lists older than ours in a row after which discovery is taken to have begun anew
 MAX_BODY = 4 << 20
 STATES = {"in_service": it.HostState.READY, "terminating": it.HostState.DRAINING,
@@ -66,15 +69,17 @@
         self.last_number = self.last_cell = 0
         pools.forgotten = self._forget
         self.seq: int | None = None
+        self.gateways = max(1, node.settings.gateways)
         self.rng = random.Random(seed)
         self.older = 0
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.watch: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Begin to watch."""
-        self.watch = self.node.loop.create_task(self.run())
+    def start(self, at_once: bool = True) -> None:
+        """Begin to watch; unless at once, out of step with others that start now, if hosts are known."""
+        wait_ms = 0.0 if at_once or self.seq is None else self.rng.random() * START_MS * self.gateways
+        self.watch = self.node.loop.create_task(self.run(wait_ms))
 
     async def stop(self) -> None:
         """Watch no more."""
@@ -123,7 +128,8 @@
         kind = it.ListKind.CACHED if cached else it.ListKind.FULL if whole else it.ListKind.DELTA
         if whole or entries:
             self.node.feed(it.HostList(kind, tuple(entry for entry, _ in entries)))
-        self.seq = None if cached else seq
+        sound = whole and len(entries) == len(news["hosts"]) > 0
+        self.seq = seq if sound or not cached else None
 
     def _entry(self, source: Any) -> tuple[it.HostEntry, tuple[str, int]]:
         name, block = str(source["host"]), str(source.get("block", 0))
@@ -151,9 +157,14 @@
         if block is not None and block not in self.blocks.values():
             self.cells.pop(block, None)
 
-    async def run(self) -> None:
-        """Ask for the whole list, then watch; a call that fails is followed by another before long."""
-        pause, failing = RETRY_MS, False
+    async def run(self, wait_ms: float = 0.0) -> None:
+        """Ask for the whole list, then watch; a call that fails is followed by another before long.
+
+        Who knows a list watches from its version on: changes cost discovery less than whole lists do.
+        """
+        first = pause = RETRY_MS * self.gateways
+        failing = False
+        await asyncio.sleep(wait_ms / 1000)
         while True:
             try:
                 if self.seq is None or self.older:
@@ -164,7 +175,7 @@
                 self.apply(news)
                 if failing:
                     log.info("discovery: back at version %s", self.seq)
-                pause, failing = RETRY_MS, False
+                pause, failing = first, False
             except Exception as error:
                 # Guards against anything that discovery may send, or its silence, ending the watch for good.
                 if not failing:
@@ -172,7 +183,7 @@
                 self._hang_up()
                 failing = True
                 await asyncio.sleep(self._spread(pause) / 1000)
-                pause = min(RETRY_MOST_MS, 2 * pause)
+                pause = min(RETRY_MOST_MS * self.gateways, 2 * pause)
 
     def _spread(self, pause: float) -> float:
         """A pause of this gateway's own: many that come back in step would fail in step."""
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Iterator
 from functools import partial
 from typing import Any
@@ -204,6 +205,57 @@
     run(_watching(test))
 
 
+@pytest.mark.parametrize("damage", [None, "entry", "empty"])
+def test_a_start_watches_from_the_version_it_knows_unless_that_list_is_damaged(damage: str | None) -> None:
+    """Days at size: 28 gateways that came back together asked for whole lists and overbooked discovery."""
+    async def main() -> None:
+        async with World() as world:
+            agent = await Agent().start()
+            watch = Watch(world, agent)
+            known = [] if damage == "empty" else [entry("a", "127.0.0.1:1")]
+            known += [{"host": "b"}] if damage == "entry" else []
+            watch.discovery.apply({"seq": 5, "whole": True, "hosts": known}, cached=True)
+            watch.discovery.start()
+            call = await soon(agent.calls.get())
+            assert call == "/discovery/hosts" if damage else call.startswith("/discovery/hosts?index=5&wait=")
+            await watch.discovery.stop()
+            agent.server.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("gateways", [3, 48])
+def test_a_fleet_asks_a_failing_discovery_no_more_often_the_larger_it_is(
+        gateways: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Days at size: 40 gateways that each asked once a second kept it overbooked for good."""
+    async def main() -> None:
+        async with World() as world:
+            watch = Watch(world, await Agent().start())
+            discovery = watch.discovery
+            discovery.gateways = gateways
+            pauses: list[float] = []
+
+            async def fail(path: str, patience_ms: float) -> object:
+                raise ValueError("status 503")
+
+            async def pause(seconds: float) -> None:
+                pauses.append(seconds)
+                if len(pauses) > 400:
+                    raise asyncio.CancelledError
+
+            monkeypatch.setattr(discovery, "_get", fail)
+            monkeypatch.setattr(asyncio, "sleep", pause)
+            with contextlib.suppress(asyncio.CancelledError):
+                await discovery.run()
+            monkeypatch.undo()
+            later = pauses[4:]
+            assert 3 < gateways * len(later) / sum(later) < 5, "calls a second over the fleet"
+            assert min(later) < 0.7 * max(later), "out of step"
+            watch.agent.server.close()
+
+    run(main())
+
+
 def test_an_older_version_changes_nothing() -> None:
     async def test(watch: Watch) -> None:
         gone = entry("a", "127.0.0.1:1", health="terminated")
