Put counts right only where calls are not thinned; grant denied claims as before

Cause, both mine in: `_counted` told what ran over also where calls are thinned, and `_count_open` refused a claim whenever the last one had been denied and no call was drawn, which at a slow counter is nearly always.

--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -721,7 +721,8 @@
         due, who.waiting = who.waiting[:count], who.waiting[count:]
         if ok:
             who.learn(now, window, amount, asked, event.total)
-            who.put_right(now, window, amount, event.total, told, amiss)
+            if amiss or self._calls_share(now) > self.rng.random():  # thinned like all calls
+                who.put_right(now, window, amount, event.total, told, amiss)
             if event.total - amount < 0.5 and window != who.carry and amount > 0.0:
                 # Whoever comes first, one gateway of all, carries what the last window used too much.
                 who.carry = window
@@ -797,8 +798,7 @@
         amount = who.out + want - who.told
         thinned = self._calls_share(now) < self.rng.random()
         if want and thinned:
-            # What the count last denied is not granted for want of a newer word.
-            return self._denied(now, who, True) if who.denied else self._without_count(now, who)
+            return self._without_count(now, who)
         if want or amount < 0 or (not thinned and (amount or (who.unsure and may))):
             who.asked_open = (window, amount, want > 0)
             place = float(self.base ** self.place)
