Ask an agent that pushes lists again within the drain grace, not after 10 to 30 s

Cause: the silent watch was given up in time (6.9 s), but Discovery.run then paused RETRY_MS = 100 ms for each gateway of the fleet, 20 s at 200, half as long or half as long again by chance.

Now: with an agent, an answer is waited for, and calls are spaced, by a part of `drain_grace_ms`; a watch follows an answer only, so that no first call waits out a silent agent; a start asks at once. Where lists are asked for, a watch that broke is opened anew at once, 503 still backs off with the fleet, but within `ask_within_ms`. Older whole lists are taken for a new numbering after 6 s, not after three in a row: three now come in a second.

--- a/junipertally/node/discovery.py
+++ b/junipertally/node/discovery.py
@@ -20,14 +20,19 @@
 log = logging.getLogger(__name__)
 
 WAIT_MS = 5000  # how long a watch may wait: bounds how long a silent agent goes unnoticed
-PATIENCE_MS = 1500  # how much later than that an answer may come
-# One service answers all gateways, each call in its turn, and one that waits too long fails: the more
-# gateways there are, the longer each waits before it asks again.
-RETRY_MS = 100.0  # pause after a call that failed, for each gateway; doubled up to the limit below
+# Where lists are pushed, the agent beside us answers at once, and from its return on all that it has counts
+# as told: we wait for an answer, and between calls, for a small part of the grace that draining hosts have.
+NEAR_PART = 0.25
+NEAR_LEAST_MS = 100.0
+# Where they are asked for, one service answers all gateways, each call in its turn, and one that waits too
+# long fails: the more gateways there are, the longer each waits before it asks again.
+PATIENCE_MS = 1500.0  # how long an answer may take there
+RETRY_MS = 100.0  # pause after a call that failed, for each gateway; doubled up to the limits below
 RETRY_MOST_MS = 250.0
+ASK_PART = 2.0  # pauses stay under this many times the span within which one has to ask; 4 are allowed
 START_MS = 300.0  # who knows hosts asks first within this time, as many start at once; but what it knows may
 # be old, and a host that drained or went meanwhile may get nothing new after 1 s
-OLDER_MOST = 3  # whole lists older than ours in a row after which discovery is taken to have begun anew
+OLDER_MS = 6000.0  # discovery's word is late by this at most: older lists for longer are numbered anew
 MAX_BODY = 4 << 20
 STATES = {"in_service": it.HostState.READY, "terminating": it.HostState.DRAINING,
           "terminated": it.HostState.GONE}
@@ -41,6 +46,10 @@
     return host, int(port)
 
 
+class Refused(Exception):
+    """Discovery answered that it has no list for us now."""
+
+
 class _Response:
     """Collects one answer for the parser."""
 
@@ -70,16 +79,20 @@
         self.last_number = self.last_cell = 0
         pools.forgotten = self._forget
         self.seq: int | None = None
-        self.gateways = max(1, node.settings.gateways)
+        rules = node.settings.rules
+        self.pushed, self.gateways = not node.settings.asks_for_list, max(1, node.settings.gateways)
+        self.near_ms = max(NEAR_LEAST_MS, NEAR_PART * rules.drain_grace_ms)
+        self.patience_ms = self.near_ms if self.pushed else PATIENCE_MS
+        self.pause_most_ms = min(RETRY_MOST_MS * self.gateways, ASK_PART * rules.ask_within_ms)
         self.rng = random.Random(seed)
-        self.older = 0
+        self.older_since: float | None = None  # when lists older than ours began to come
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.watch: asyncio.Task[None] | None = None
 
     def start(self, at_once: bool = True) -> None:
-        """Begin to watch; unless at once, out of step with others that start now, if hosts are known."""
-        wait_ms = 0.0 if at_once or self.seq is None else self.rng.random() * START_MS
+        """Begin to watch; unless at once, or with an agent, out of step with others, if hosts are known."""
+        wait_ms = 0.0 if at_once or self.pushed or self.seq is None else self.rng.random() * START_MS
         self.watch = self.node.loop.create_task(self.run(wait_ms))
 
     async def stop(self) -> None:
@@ -98,7 +111,7 @@
         if self.watch is not None:
             self.watch.cancel()
         self._hang_up()
-        self.address, self.seq, self.older = address, None, 0
+        self.address, self.seq, self.older_since = address, None, None
         self.start()
 
     def apply(self, news: Any, cached: bool = False) -> None:
@@ -109,10 +122,11 @@
         seq, whole = news["seq"], news.get("whole") is True
         if self.seq is not None and seq < self.seq:
             # Guards against a late or lagging answer bringing hosts back that have gone since.
-            self.older += 1
-            if not whole or self.older < OLDER_MOST:
+            now = self.node.clock.now()
+            self.older_since = self.older_since or now
+            if not whole or now - self.older_since < OLDER_MS:
                 raise ValueError(f"version {seq} is older than {self.seq}")
-        self.older = 0
+        self.older_since = None
         entries = []
         for source in news["hosts"]:
             try:
@@ -159,32 +173,43 @@
             self.cells.pop(block, None)
 
     async def run(self, wait_ms: float = 0.0) -> None:
-        """Ask for the whole list, then watch; a call that fails is followed by another before long.
+        """Ask for what is new, then watch; a call that fails is followed by another before long.
 
-        Who knows a list watches from its version on: changes cost discovery less than whole lists do.
+        Who knows a list asks from its version on: changes cost discovery less than whole lists do. Where
+        lists are pushed a watch follows an answer only: one at a silent agent would wait out its time.
         """
-        first = pause = RETRY_MS * self.gateways
-        failing = False
+        failures, answered = 0, False
         await asyncio.sleep(wait_ms / 1000)
         while True:
             try:
-                if self.seq is None or self.older:
-                    news = await self._get("/discovery/hosts", PATIENCE_MS)
+                if self.seq is None or self.older_since is not None:
+                    news = await self._get("/discovery/hosts", self.patience_ms)
                 else:
-                    news = await self._get(f"/discovery/hosts?index={self.seq}&wait={WAIT_MS}",
-                                           WAIT_MS + PATIENCE_MS)
+                    wait = WAIT_MS if answered or not self.pushed else 1
+                    news = await self._get(f"/discovery/hosts?index={self.seq}&wait={wait}",
+                                           wait + self.patience_ms)
                 self.apply(news)
-                if failing:
+                if failures:
                     log.info("discovery: back at version %s", self.seq)
-                pause, failing = first, False
+                failures, answered = 0, True
             except Exception as error:
                 # Guards against anything that discovery may send, or its silence, ending the watch for good.
-                if not failing:
+                if not failures:
                     log.warning("discovery: %r", error)
                 self._hang_up()
-                failing = True
-                await asyncio.sleep(self._spread(pause) / 1000)
-                pause = min(RETRY_MOST_MS * self.gateways, 2 * pause)
+                failures, answered = failures + 1, False
+                await asyncio.sleep(self._pause(failures, isinstance(error, Refused)) / 1000)
+
+    def _pause(self, failures: int, refused: bool) -> float:
+        """How long to wait after a call that failed: as long as it may be, where one service answers all.
+
+        A watch that broke or fell silent is opened anew at once: what it misses counts as told soon.
+        """
+        if self.pushed:
+            return self._spread(self.near_ms / 2)
+        if failures == 1 and not refused:
+            return self.rng.random() * START_MS
+        return self._spread(min(self.pause_most_ms, RETRY_MS * self.gateways * 2.0 ** min(failures - 1, 20)))
 
     def _spread(self, pause: float) -> float:
         """A pause of this gateway's own: many that come back in step would fail in step."""
@@ -206,7 +231,7 @@
         if not parser.should_keep_alive():
             self._hang_up()
         if parser.get_status_code() != 200:
-            raise ValueError(f"status {parser.get_status_code()}")
+            raise Refused(f"status {parser.get_status_code()}")
         return json.loads(response.body)
 
     def _hang_up(self) -> None:
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -13,9 +13,9 @@
 from junipertally import interface as it
 from junipertally.node import counter as counter_module
 from junipertally.node import discovery as discovery_module
-from junipertally.node.discovery import Discovery
+from junipertally.node.discovery import WAIT_MS, Discovery, Refused
+from tests.sockets import WIRE, Peer, World, entry, run, served, soon
 from tests.sockets import Discovery as Agent
-from tests.sockets import Peer, World, entry, run, served, soon
 
 
 class Counted:
@@ -225,12 +225,13 @@
 
 
 @pytest.mark.parametrize("gateways", [3, 48])
-def test_a_start_asks_before_what_it_knows_may_harm(gateways: int, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_start_asks_before_what_it_knows_may_harm(
+        gateways: int, mode: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Days at size: a start that asked 3 s late sent to hosts that had gone while its gateway was down."""
     async def main() -> None:
-        async with World() as world:
+        async with World(wire={"discovery": mode, "balancers": gateways}) as world:
             watch = Watch(world, await Agent().start())
-            watch.discovery.gateways = gateways
             known = {"seq": 5, "whole": True, "hosts": [entry("a", "127.0.0.1:1")]}
             watch.discovery.apply(known, cached=True)
             waits: list[float] = []
@@ -242,40 +243,106 @@
             for at_once in [False] * 30 + [True]:
                 watch.discovery.start(at_once)
                 await watch.discovery.watch  # type: ignore[misc]
-            assert max(waits) < 500.0 and len(set(waits[:30])) == 30 and waits[30] == 0.0
+            if mode == "push":  # an agent of each gateway's own holds it: no reason to wait
+                assert set(waits) == {0.0}
+            else:
+                assert max(waits) < 500.0 and len(set(waits[:30])) == 30 and waits[30] == 0.0
             watch.agent.server.close()
 
     run(main())
 
 
+async def _pauses(gateways: int, mode: str, error: Exception, count: int,
+                  monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """How long a discovery client pauses, in s, while each call ends as `error`."""
+    pauses: list[float] = []
+    async with World(wire={"discovery": mode, "balancers": gateways}) as world:
+        watch = Watch(world, await Agent().start())
+
+        async def fail(path: str, patience_ms: float) -> object:
+            raise error
+
+        async def pause(seconds: float) -> None:
+            pauses.append(seconds)
+            if len(pauses) > count:
+                raise asyncio.CancelledError
+
+        monkeypatch.setattr(watch.discovery, "_get", fail)
+        monkeypatch.setattr(asyncio, "sleep", pause)
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch.discovery.run()
+        monkeypatch.undo()
+        watch.agent.server.close()
+    return pauses[1:]
+
+
 @pytest.mark.parametrize("gateways", [3, 48])
 def test_a_fleet_asks_a_failing_discovery_no_more_often_the_larger_it_is(
         gateways: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """Days at size: 40 gateways that each asked once a second kept it overbooked for good."""
     async def main() -> None:
-        async with World() as world:
-            watch = Watch(world, await Agent().start())
-            discovery = watch.discovery
-            discovery.gateways = gateways
-            pauses: list[float] = []
-
-            async def fail(path: str, patience_ms: float) -> object:
-                raise ValueError("status 503")
-
-            async def pause(seconds: float) -> None:
-                pauses.append(seconds)
-                if len(pauses) > 400:
-                    raise asyncio.CancelledError
-
-            monkeypatch.setattr(discovery, "_get", fail)
-            monkeypatch.setattr(asyncio, "sleep", pause)
-            with contextlib.suppress(asyncio.CancelledError):
-                await discovery.run()
-            monkeypatch.undo()
-            later = pauses[4:]
-            assert 3 < gateways * len(later) / sum(later) < 5, "calls a second over the fleet"
-            assert min(later) < 0.7 * max(later), "out of step"
-            watch.agent.server.close()
+        later = (await _pauses(gateways, "ask", Refused("status 503"), 400, monkeypatch))[3:]
+        assert 3 < gateways * len(later) / sum(later) < 5, "calls a second over the fleet"
+        assert min(later) < 0.7 * max(later), "out of step"
+
+    run(main())
+
+
+def test_the_largest_fleet_still_asks_within_the_time_that_the_settings_allow(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        later = await _pauses(200, "ask", Refused("status 503"), 50, monkeypatch)
+        assert max(later) <= 3 * 10.0  # who has not asked for four times `ask_within_ms` counts as told
+
+    run(main())
+
+
+@pytest.mark.parametrize("gateways", [3, 200])
+@pytest.mark.parametrize("error", [TimeoutError(), ConnectionResetError(), Refused("status 503"),
+                                   ValueError("not a host list")])
+def test_an_agent_that_pushes_lists_is_asked_again_within_the_drain_grace_however_large_the_fleet(
+        gateways: int, error: Exception, monkeypatch: pytest.MonkeyPatch) -> None:
+    """herd+mass, join+mass: 200 gateways paused for 10 to 30 s and sent on to hosts announced as leaving."""
+    async def main() -> None:
+        pauses = await _pauses(gateways, "push", error, 50, monkeypatch)
+        grace = WIRE["rules"]["drain_grace_ms"] / 1000
+        assert max(pauses) < grace / 4 and min(pauses) < 0.7 * max(pauses)
+
+    run(main())
+
+
+@pytest.mark.parametrize("gateways", [3, 200])
+def test_a_watch_that_broke_is_opened_anew_at_once_also_where_lists_are_asked_for(
+        gateways: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a silent watch misses counts as told 2 s after its wait; for 1.5 s of these it is waited for."""
+    async def main() -> None:
+        for error in (TimeoutError(), ConnectionResetError()):
+            pauses = await _pauses(gateways, "ask", error, 50, monkeypatch)
+            assert pauses[0] < 0.5 and max(pauses) <= 3 * 10.0
+
+    run(main())
+
+
+def test_news_that_an_agent_had_at_the_start_or_at_its_return_comes_well_within_the_grace() -> None:
+    """The agent is silent to every call, then answers new ones only: as where discovery was down."""
+    async def main() -> None:
+        async with World(wire={"rules": WIRE["rules"] | {"drain_grace_ms": 400}}) as world:
+            agent = await Agent().start()
+            watch = Watch(world, agent)
+            known = {"seq": 5, "whole": True, "hosts": [entry("a", "127.0.0.1:1")]}
+            watch.discovery.apply(known, cached=True)
+            await watch.next()
+            watch.discovery.start()
+            for _ in range(4):
+                call = await soon(agent.calls.get())
+                assert call == "/discovery/hosts?index=5&wait=1"
+                agent.answers.put_nowait(None)  # never answered
+            await soon(agent.calls.get())
+            agent.put({"seq": 6, "whole": False, "hosts": [entry("a", "127.0.0.1:1", health="terminating")]})
+            assert await watch.next() == (it.ListKind.DELTA, [(1, it.HostState.DRAINING)])
+            assert await soon(agent.calls.get()) == f"/discovery/hosts?index=6&wait={WAIT_MS}"
+            await watch.discovery.stop()
+            agent.server.close()
 
     run(main())
 
@@ -292,6 +359,22 @@
     run(_watching(test))
 
 
+def test_older_lists_change_nothing_however_often_they_come_until_discovery_must_be_numbered_anew(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Asked again within the grace, three older lists come within a second: that proves no new numbering."""
+    async def test(watch: Watch) -> None:
+        older = {"seq": 3, "whole": True, "hosts": [entry("b", "127.0.0.1:2", "west")]}
+        for _ in range(5):
+            watch.agent.put(older)
+            assert await soon(watch.agent.calls.get()) == "/discovery/hosts"
+        assert watch.lists.empty()
+        monkeypatch.setattr(discovery_module, "OLDER_MS", 0.0)
+        watch.agent.put(older)
+        assert await watch.next() == (it.ListKind.FULL, [(2, it.HostState.READY)])
+
+    run(_watching(test))
+
+
 def test_broken_answers_and_bad_entries_do_not_end_the_watch() -> None:
     async def test(watch: Watch) -> None:
         for broken in (b"{", b"[]", b'{"seq":"x","hosts":[]}'):
