Begin nothing on a host that leaves: what waits for a connection goes back to the module

Now a list that names a host as leaving hands waiting attempts back once the module has heard of the list, and it sends them to another host; nothing is begun on a host that leaves, whatever it waited for. They end as not sent (moot), no longer as unreachable, which counted against the host. DRAIN_MARGIN_MS is gone.

Tests: a connect held until the list is told, by health `terminating`, `terminated` and a whole list without the host: all three fail without the mend. The test of the grace is replaced by one that allows nothing at all.

--- a/junipertally/node/discovery.py
+++ b/junipertally/node/discovery.py
@@ -143,6 +143,7 @@
         kind = it.ListKind.CACHED if cached else it.ListKind.FULL if whole else it.ListKind.DELTA
         if whole or entries:
             self.node.feed(it.HostList(kind, tuple(entry for entry, _ in entries)))
+            self.pools.hand_back()
         sound = whole and len(entries) == len(news["hosts"]) > 0
         self.seq = seq if sound or not cached else None
 
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -14,7 +14,6 @@
 VALUE_STALL_S = 4.0  # how long a long one may
 UPLOAD_STALL_S = 3.0  # how long a host may take nothing of a body that is passed on
 IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
-DRAIN_MARGIN_MS = 100.0  # a late send stays this far inside the grace
 
 
 def command(attempt: Attempt, now: float) -> bytes:
@@ -244,7 +243,7 @@
     def __init__(self, hosts: HostPools, number: int, name: str) -> None:
         self.hosts, self.number, self.name = hosts, number, name
         self.address, self.started = ("", 0), 0.0
-        self.told: float | None = None  # when we learnt that the host drains or is gone
+        self.leaving = False  # whether the host drains or is gone, as far as we know
         self.gone = False
         self.idle: deque[HostConnection] = deque()  # most recently used last
         self.all: set[HostConnection] = set()
@@ -266,12 +265,10 @@
     def _begin(self, connection: HostConnection, attempt: Attempt) -> bool:
         """Write an attempt, unless its time for that has passed while it waited for a connection."""
         node, now = self.hosts.node, self.hosts.node.clock.now()
-        # Guards against a connect that comes up late: the request may have ended meanwhile (rule 1), or the
-        # grace of a draining host may be over (rule 3). Nothing was written, so nothing ran.
-        grace = node.settings.rules.drain_grace_ms - DRAIN_MARGIN_MS
-        late = self.told is not None and now > self.told + grace
-        if attempt.request.done or late:
-            node.attempt_ended(attempt, it.Outcome.UNREACHABLE if late else it.Outcome.MOOT)
+        if attempt.request.done or self.leaving:
+            # Guards against a connect that comes up late: the request may have ended meanwhile (rule 1), or
+            # the host may leave by now (rule 3). Nothing was written, so nothing ran.
+            node.attempt_ended(attempt, it.Outcome.MOOT)
             return False
         connection.begin(attempt, now)
         return True
@@ -322,7 +319,7 @@
         self._rest(connection)
 
     def _rest(self, connection: HostConnection) -> None:
-        if self.told is not None or connection.closed or self.hosts.parting:
+        if self.leaving or connection.closed or self.hosts.parting:
             return connection.close()
         connection.idle_since = self.hosts.node.clock.now()
         self.idle.append(connection)
@@ -396,17 +393,25 @@
 
     def listed(self, host: int, address: tuple[str, int], state: it.HostState, started: float) -> None:
         """Follow the host list: connections to what a host was, or to one that leaves, are of no use."""
-        pool, now, ready = self.pools[host], self.node.clock.now(), state is it.HostState.READY
+        pool, ready = self.pools[host], state is it.HostState.READY
         if pool.address != address or started > pool.started or not ready:
             pool.address, pool.started = address, started
             pool.close_idle()
-        if ready:
-            pool.told = None
-        elif pool.told is None:
-            pool.told = now
+        pool.leaving = not ready
         pool.gone = state is it.HostState.GONE
         pool.forget_if_over()
 
+    def hand_back(self) -> None:
+        """Give the module what still waits for hosts that leave; it has heard of the list by then.
+
+        When their leaving counted as told, and so how long the grace lasts, may be known to nobody here: the
+        agent may have had the news for a while. Nothing new goes to them at all.
+        """
+        for pool in [pool for pool in self.pools.values() if pool.leaving and pool.waiting]:
+            while pool.waiting:
+                self.node.attempt_ended(pool.waiting.popleft(), it.Outcome.MOOT)
+            pool.forget_if_over()
+
     def part(self) -> None:
         """Keep no connection at rest any more."""
         self.parting = True
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -185,14 +185,48 @@
     run(main())
 
 
-def test_nothing_is_written_to_a_host_once_the_grace_of_its_drain_is_over() -> None:
+@pytest.mark.parametrize("health", ["terminating", "terminated", "unnamed"])
+def test_nothing_is_written_to_a_host_whose_leaving_is_heard_of_while_its_connect_is_under_way(
+        health: str) -> None:
+    """The agent may have had the news for as long as the grace: that is not ours to use up."""
+    async def main() -> None:
+        async with World(lambda words: served(b"leaves"), lambda words: served(b"stays")) as world:
+            pools, discovery = world.parts.pools, world.parts.discovery
+            client = await world.client()
+            start, held = pools.start, list[Attempt]()
+
+            def hold(attempt: Attempt) -> None:
+                held.append(attempt)
+
+            pools.start = hold  # type: ignore[method-assign]
+            client.ask(b"1")
+            while not held:
+                await asyncio.sleep(0)
+            leaves = 0 if held[0].host == 1 else 1
+            start(held[0])  # its connect is under way
+            pools.start = start  # type: ignore[method-assign]
+            hosts = [entry(f"h{n}", host.dial) for n, host in enumerate(world.hosts)]
+            if health == "unnamed":
+                del hosts[leaves]
+            else:
+                hosts[leaves]["health"] = health
+            discovery.apply({"seq": 2, "whole": True, "hosts": hosts})
+            assert await client.answer() == (b"stays" if leaves == 0 else b"leaves")
+            await soon(world.hosts[leaves].connected.get())
+            await soon(world.hosts[leaves].closed.get())
+            assert world.hosts[leaves].commands.empty()
+            assert not any(host.fails for host in world.parts.node.module.hosts.values())
+
+    run(main())
+
+
+def test_nothing_is_written_to_a_host_that_leaves_as_its_connection_comes_up() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
             log, pool = Log(world), world.parts.pools.pools[1]
             world.parts.pools.start(_attempt(world))
-            grace = world.parts.node.settings.rules.drain_grace_ms
-            pool.told = world.parts.node.clock.now() - grace
-            assert (await log.ended()).outcome is it.Outcome.UNREACHABLE
+            pool.leaving = True  # whatever made it so
+            assert (await log.ended()).outcome is it.Outcome.MOOT
             await soon(world.hosts[0].closed.get())
             assert world.hosts[0].commands.empty()
 
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -190,7 +190,7 @@
         watch.agent.put({"seq": 7, "whole": False, "hosts": [draining]})
         assert await watch.next() == (it.ListKind.DELTA, [(2, it.HostState.DRAINING)])
         assert "index=7&" in await soon(watch.agent.calls.get())
-        assert watch.pools.pools[2].told is not None and watch.pools.pools[1].told is None
+        assert watch.pools.pools[2].leaving and not watch.pools.pools[1].leaving
 
     run(_watching(test))
 
