End an attempt's connection before the next attempt is written, not a turn later

Now close ends our sending with shutdown before it aborts, whenever an attempt was on the connection.

Test: the first host's side of the connection is polled in the moment in which the next command is written, after a cancel, a spoilt answer and one that stands still: all three fail without the mend.

--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -8,7 +8,7 @@
 
 from junipertally import interface as it
 from junipertally.node.gateway import Attempt, Node
-from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, fields, pack, unsent
+from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, end_sending, fields, pack, unsent
 
 STALL_S = 0.5  # how long a short answer that has begun may stand still
 VALUE_STALL_S = 4.0  # how long a long one may
@@ -219,6 +219,9 @@
         self.closed, self.buffer = True, b""
         self._stall_off()
         attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            # Guards against a second copy: a repeat is written before the loop has closed this one.
+            end_sending(self.transport)
         self.transport.abort()
         self.pool.lost(self)
         if attempt is not None:
--- a/junipertally/node/resp.py
+++ b/junipertally/node/resp.py
@@ -11,6 +11,7 @@
 import contextlib
 import fcntl
 import re
+import socket
 import sys
 import termios
 from collections.abc import Sequence
@@ -214,6 +215,18 @@
     return transport.get_write_buffer_size() + int.from_bytes(held, sys.byteorder)
 
 
+def end_sending(transport: asyncio.Transport) -> None:
+    """End our side of a connection now: the loop closes what is aborted only in its next turn."""
+    if transport.is_closing():
+        return
+    with contextlib.suppress(OSError):  # the other side has broken it
+        raw = socket.socket(fileno=transport.get_extra_info("socket").fileno())
+        try:
+            raw.shutdown(socket.SHUT_WR)
+        finally:
+            raw.detach()
+
+
 class Outgoing(asyncio.Protocol):
     """A connection that we opened; `unsent` says whether bytes of ours have not left yet."""
 
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from typing import Any
 
@@ -249,6 +250,66 @@
     run(main())
 
 
+class First(asyncio.Protocol):
+    """Hosts of which the one that gets the first command answers oddly, or not at all."""
+
+    def __init__(self, asked: list[socket.socket], first: bytes | None) -> None:
+        self.asked, self.first = asked, first
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: Any = transport
+
+    def eof_received(self) -> bool:
+        return True  # stays open at this side
+
+    def data_received(self, data: bytes) -> None:
+        answer = served() if self.asked else self.first
+        self.asked.append(self.transport.get_extra_info("socket"))
+        if answer is not None:
+            self.transport.write(answer)
+
+
+@pytest.mark.parametrize("how", ["cancelled", "spoilt", "never ends"])
+def test_an_earlier_attempt_has_ended_on_its_connection_when_the_next_one_is_written(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first one's other side is looked at just then: our loop closes a turn later than it writes."""
+    monkeypatch.setattr(hosts_module, "STALL_S", 0.05)
+    first = {"cancelled": None, "spoilt": b"+OK\r\n", "never ends": b"*3\r\n$5\r\nval"}[how]
+    begin, asked, ended = hosts_module.HostConnection.begin, list[socket.socket](), list[bool]()
+
+    def look(connection: hosts_module.HostConnection, attempt: Attempt, now: float) -> None:
+        poll = select.poll()
+        for other in asked:
+            poll.register(other, select.POLLRDHUP)
+        ended.append(len(poll.poll(0)) == len(asked))
+        begin(connection, attempt, now)
+
+    monkeypatch.setattr(hosts_module.HostConnection, "begin", look)
+
+    async def main() -> None:
+        async with World(lambda words: served(), lambda words: served()) as world:
+            loop, node, pools = asyncio.get_running_loop(), world.parts.node, world.parts.pools.pools
+            servers = []
+            for pool in pools.values():
+                servers.append(await loop.create_server(lambda: First(asked, first), "127.0.0.1", 0))
+                pool.address = servers[-1].sockets[0].getsockname()
+                pool._open()  # one to each rests, so that nothing has to be opened later
+            while not all(pool.idle for pool in pools.values()):
+                await asyncio.sleep(0)
+            client = await world.client()
+            client.ask(b"1")
+            while not asked:
+                await asyncio.sleep(0)
+            if how == "cancelled":
+                node._cancel(it.Cancel(max(node.requests), 0), node.clock.now())
+            assert await client.answer() == b"value"
+            assert ended == [True, True]
+            for server in servers:
+                server.close()
+
+    run(main())
+
+
 def test_a_keyed_repeat_keeps_its_key_and_its_zone() -> None:
     async def main() -> None:
         handler = _first({b"1": Peer.RESET}, served())
