Let a connection settle before it serves again, and look at it before each request

Read: Pool.start gave the connection used last to the next attempt at once, so that what came 2 ms late was taken for the next request's answer. Bytes or an end that the system had taken in, but the loop had not read, were not seen either; and after a stand-still of the gateway a connection rested beyond the hosts' limit could be used, as the loop reads what came before it runs the timer that closes it.

Now a connection settles for 10 ms after its answer, watched, before it may serve; who wants one meanwhile waits for it and opens none. One that rested is looked at (a poll, and its age) in the moment of use.

Tests: bytes, an end and age between rest and use, with no turn of the loop between, and a second answer held until the next request is out: four fail without the mend. A guard for who waits while one settles.

--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 STALL_S = 0.5  # how long a short answer that has begun may stand still
 VALUE_STALL_S = 4.0  # how long a long one may
 UPLOAD_STALL_S = 3.0  # how long a host may take nothing of a body that is passed on
+SETTLE_S = 0.01  # a connection rests so long before it serves again: second answers come some ms late
 IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
 
 
@@ -34,7 +36,9 @@
         super().__init__()
         self.pool, self.address = pool, address
         self.attempt: Attempt | None = None
-        self.idle_since = 0.0
+        self.idle_since = pool.hosts.node.clock.now()  # until then it carried something, or was not up
+        self.settling: asyncio.TimerHandle | None = None  # its answer is whole, but it may not serve yet
+        self.poll = select.poll()
         self.stall: asyncio.TimerHandle | None = None  # while the host owes us bytes, or has to take ours
         self.uploading = False  # the command's body is not whole
         self.queued = 0  # bytes of it that had not left when we last looked
@@ -43,6 +47,19 @@
         self.fields: int | None = None  # how many figures follow the value that has come
         self.held_up = False  # nothing is read, as the client does not take it
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Be ready to look at what has come before the loop does."""
+        super().connection_made(transport)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def fit(self, now: float) -> bool:
+        """Whether a resting connection may serve: in time, and nothing has come, read by the loop or not.
+
+        Guards against a request that crosses the host's close, and against an answer that nobody asked for
+        being taken for the next request's.
+        """
+        return now - self.idle_since <= self.pool.hosts.idle_ms and not self.poll.poll(0)
+
     # What we send.
 
     def begin(self, attempt: Attempt, now: float) -> None:
@@ -192,7 +209,7 @@
             return self.close()
         self._stall_off()
         self.fields, self.buffer = None, b""
-        self.pool.freed(self)
+        self.pool.settle(self)
 
     def spoilt(self) -> None:
         """Give up on an answer that can be none, or that does not go on; its request may have run.
@@ -250,19 +267,28 @@
         self.gone = False
         self.idle: deque[HostConnection] = deque()  # most recently used last
         self.all: set[HostConnection] = set()
+        self.settling: deque[HostConnection] = deque()  # these carry nothing, and will soon rest too
         self.connecting = 0
         self.waiting: deque[Attempt] = deque()
         self.sweeper: asyncio.TimerHandle | None = None
 
     def start(self, attempt: Attempt) -> None:
-        """Use the connection used last, or open one."""
-        if self.idle:
+        """Use the connection used last, or wait for one."""
+        now = self.hosts.node.clock.now()
+        while self.idle:
             connection = self.idle.pop()
+            if not connection.fit(now):
+                connection.close()
+                continue
             if not self._begin(connection, attempt):
                 self._rest(connection)
             return
         self.waiting.append(attempt)
-        if self.connecting < len(self.waiting):
+        self._supply()
+
+    def _supply(self) -> None:
+        """Open a connection if fewer will soon be free than attempts wait for one."""
+        if self.connecting + len(self.settling) < len(self.waiting):
             self._open()
 
     def _begin(self, connection: HostConnection, attempt: Attempt) -> bool:
@@ -304,7 +330,7 @@
             self.all.add(connection)
             self.hosts.open += 1
             return self.freed(connection)
-        if self.waiting and self.connecting < len(self.waiting):
+        if self.connecting + len(self.settling) < len(self.waiting):
             node.attempt_ended(self.waiting.popleft(), it.Outcome.UNREACHABLE)
         self.forget_if_over()
 
@@ -313,18 +339,31 @@
         if connection.address != self.address:
             # Guards against a connect that was under way when the list moved the host.
             connection.close()
-            if self.connecting < len(self.waiting):
-                self._open()
-            return
+            return self._supply()
         while self.waiting and not connection.closed:
             if self._begin(connection, self.waiting.popleft()):
                 return
         self._rest(connection)
 
-    def _rest(self, connection: HostConnection) -> None:
+    def settle(self, connection: HostConnection) -> None:
+        """Keep a connection whose answer is whole, but let it serve only once no second one can be behind.
+
+        Guards against a second answer that comes late being taken for the answer to the next request.
+        """
         if self.leaving or connection.closed or self.hosts.parting:
             return connection.close()
         connection.idle_since = self.hosts.node.clock.now()
+        self.settling.append(connection)
+        connection.settling = self.hosts.node.loop.call_later(SETTLE_S, self._settled, connection)
+
+    def _settled(self, connection: HostConnection) -> None:
+        self.settling.remove(connection)
+        connection.settling = None
+        self.freed(connection)
+
+    def _rest(self, connection: HostConnection) -> None:
+        if self.leaving or connection.closed or self.hosts.parting:
+            return connection.close()
         self.idle.append(connection)
         if self.sweeper is None:
             self.sweeper = self.hosts.node.loop.call_later(self.hosts.idle_ms / 1000, self._sweep)
@@ -341,8 +380,8 @@
 
     def close_idle(self) -> None:
         """Close the connections that carry nothing."""
-        while self.idle:
-            self.idle[0].close()
+        for connection in [*self.idle, *self.settling]:
+            connection.close()
 
     def close_unheard(self, since: float) -> None:
         """Close resting connections that were last heard before an attempt went out and got no answer.
@@ -350,8 +389,9 @@
         Guards against a machine that vanished: its connections stay open and swallow one attempt each,
         which then may have run; a new connect that fails proves that nothing did.
         """
-        while self.idle and self.idle[0].idle_since < since:
-            self.idle[0].close()
+        for connection in [*self.idle, *self.settling]:
+            if connection.idle_since < since:
+                connection.close()
 
     def lost(self, connection: HostConnection) -> None:
         """Forget a connection."""
@@ -360,6 +400,11 @@
             self.hosts.open -= 1
         if connection in self.idle:
             self.idle.remove(connection)
+        if connection.settling is not None:
+            connection.settling.cancel()
+            connection.settling = None
+            self.settling.remove(connection)
+            self.hosts.node.loop.call_soon(self._supply)  # not amid making room for one
         self.forget_if_over()
 
     def forget_if_over(self) -> None:
@@ -441,7 +486,7 @@
         """Whether one more connection fits the budget, after closing an idle one if it must."""
         if self.open + self.connecting < self.budget:
             return True
-        resting = [p.idle[0] for p in self.pools.values() if p.idle]
+        resting = [(p.idle or p.settling)[0] for p in self.pools.values() if p.idle or p.settling]
         if not resting:
             return False
         min(resting, key=lambda c: c.idle_since).close()
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -364,6 +364,87 @@
     run(main())
 
 
+def _peer_of(world: World) -> Any:
+    """The host's side of the only connection to it."""
+    return world.hosts[0].connected.get_nowait().transport
+
+
+@pytest.mark.parametrize("how", ["bytes", "end", "age"])
+def test_a_resting_connection_is_looked_at_before_it_serves_again(how: str) -> None:
+    """What comes is in the system's buffers already, and our loop has not read it when the request starts."""
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            log, pools = Log(world), world.parts.pools
+            pool = pools.pools[1]
+            pools.start(_attempt(world))
+            assert (await log.ended()).outcome is it.Outcome.OK
+            while not pool.idle:
+                await asyncio.sleep(0)
+            await soon(world.hosts[0].commands.get())
+            old, peer = pool.idle[0], _peer_of(world)
+            raw = socket.socket(fileno=socket.dup(peer.get_extra_info("socket").fileno()))
+            if how == "bytes":
+                raw.send(served(b"another's"))
+            elif how == "end":
+                raw.shutdown(socket.SHUT_WR)
+            else:
+                old.idle_since -= pools.idle_ms + 1.0
+            raw.close()
+            pools.start(_attempt(world))  # no turn of the loop between
+            assert old.closed
+            assert (await log.ended()).outcome is it.Outcome.OK
+            assert world.hosts[0].connected.qsize() == 1  # a new one
+
+    run(main())
+
+
+def test_a_second_answer_that_comes_late_is_not_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hosts_module, "SETTLE_S", 20.0, raising=False)  # as if no time passed
+
+    async def main() -> None:
+        peers: list[Any] = []
+
+        def handle(words: list[bytes]) -> bytes:
+            if words[2] == b"2":  # the second answer to the first one comes before the one to this
+                peers[0].write(served(b"answer to 1"))
+            return served(b"answer to " + words[2])
+
+        async with World(handle) as world:
+            client = await world.client()
+            client.ask(b"1")
+            assert await client.answer() == b"answer to 1"
+            peers.append(_peer_of(world))
+            old, = world.parts.pools.pools[1].all
+            client.ask(b"2")
+            assert await client.answer() == b"answer to 2"
+            while not old.closed:
+                await asyncio.sleep(0)
+            assert old not in world.parts.pools.pools[1].all
+
+    run(main())
+
+
+def test_who_waits_gets_a_connection_once_it_has_settled_and_another_if_that_breaks(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            log, pools = Log(world), world.parts.pools
+            pool = pools.pools[1]
+            pools.start(_attempt(world))
+            assert (await log.ended()).outcome is it.Outcome.OK
+            pools.start(_attempt(world))  # waits, and opens nothing
+            assert not pool.connecting and len(pool.settling) == 1
+            assert (await log.ended()).outcome is it.Outcome.OK and len(pool.all) == 1
+            monkeypatch.setattr(hosts_module, "SETTLE_S", 20.0)
+            pools.start(_attempt(world))
+            assert (await log.ended()).outcome is it.Outcome.OK
+            pools.start(_attempt(world))
+            pool.settling[0].close()
+            assert (await log.ended()).outcome is it.Outcome.OK and not pool.waiting
+
+    run(main())
+
+
 def test_connections_to_a_host_that_fell_silent_are_not_used_again() -> None:
     async def main() -> None:
         async with World(lambda words: served() if words[2] == b"1" else None) as world:
