Refuse at the deadline what only waited for a connection, do not fail it

Read: Node.end_now took any attempt that is out for one that may have run, also one whose bytes nobody had written yet. A request of an unsafe class that waited for a connection was failed where a refusal is true: with an error that waits behind it (`hurry`), and when a gateway ends. PROTOCOL counts it as refused and prices it.

Test: an attempt held before its connection, the request ended: `-ERR failed` without the mend.

--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -93,6 +93,10 @@
         """Whether its last byte has come."""
         return self.body is None or self.body.whole
 
+    def may_run(self) -> bool:
+        """Whether an attempt of it may have run, or may yet; one that waits for a connection can't."""
+        return self.maybe_ran or any(a is not None and a.connection is not None for a in self.attempts)
+
 
 class Attempt:
     """One attempt of a request at a host."""
@@ -254,7 +258,7 @@
         if request.source is not None:
             return self._cut(request)
         klass = self.settings.classes[request.arrival.request_class]
-        if klass.effect is it.Effect.SAFE or not (request.maybe_ran or request.out):
+        if klass.effect is it.Effect.SAFE or not request.may_run():
             self._finish(request, Ending.DROPPED)
             request.client.refused(request, 0.0)
         else:
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -10,6 +10,7 @@
 
 from junipertally import interface as it
 from junipertally.node import clients as clients_module
+from junipertally.node.gateway import Attempt
 from junipertally.node.resp import pack
 from tests.sockets import Client, FailingListener, Held, Peer, World, run, served, soon
 
@@ -280,6 +281,30 @@
     run(main())
 
 
+def _held(world: World) -> list[Attempt]:
+    """Attempts that wait for a connection, from now on, until the test starts them."""
+    held: list[Attempt] = []
+
+    def hold(attempt: Attempt) -> None:
+        held.append(attempt)
+
+    world.parts.pools.start = hold  # type: ignore[method-assign]
+    return held
+
+
+def test_a_request_that_only_waited_for_a_connection_is_refused_and_not_failed() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            held, client = _held(world), await world.client()
+            client.ask(b"1", b"pay", body=b"x")
+            while not held:
+                await asyncio.sleep(0)
+            world.parts.node.end_now(held[0].request)
+            assert await client.answer() == "-BUSY"
+
+    run(main())
+
+
 def test_an_answer_is_written_before_the_clients_time_is_over(monkeypatch: Any) -> None:
     monkeypatch.setattr(clients_module, "MARGIN_MS", 400.0)
 
