See that a client has left while nothing is read from it, or while answers wait to be written

Read: ClientConnection._flow stops reading when 32 requests are open, when a long body waits for its connection or when answers are not taken; libuv then reports no end and no reset either. Requests of a client that had gone stayed open to their deadline: a body's head was sent on once a connection came up, and 8 further commands were taken from our buffers after the client's end (40 sent at once, then closed). And uvloop holds connection_lost back after an end of the other side until all that is to be written has left.

What its requests held is given back where it always was, in client_left.

Ruled out: waits for the counter, a slot or a total drop what has ended already (Gateway._decide, _serve), and an attempt that waits for a connection is not written for a request that has ended (Pool._begin).

Tests: close and reset while a body waits, a crowd of commands and a close, an end while an answer waits in our buffer: all four fail without the mend, three of them by waiting for good.

--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -36,6 +36,7 @@
 VERBS = (b"API.READ", b"API.WRITE")
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
 HELD_PART = 0.25  # part of the memory limit for the commands of open requests
+LOOK_S = 0.1  # how often a client of whom nothing is read is looked at: has it gone?
 ACCEPT_PAUSE_S = 0.1  # wait after an accept that failed for want of a descriptor
 PART_AFTER_S = 0.6  # out of service, clients' last new connections have come by then
 PART_SPEAK_S = 1.0  # how long a new connection may say nothing while all are sent away
@@ -137,6 +138,7 @@
         self.errors = 0
         self.known = False  # whether it has sent a command that can be served
         self.closing = self.paused = self.blocked = self.parsing = False
+        self.look: asyncio.TimerHandle | None = None  # while nothing is read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A new client has yet to show what it is."""
@@ -230,12 +232,31 @@
         if pause != self.paused and not self.transport.is_closing():
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
+            self._look_off()
+            if pause:
+                self.look = self.clients.node.loop.call_later(LOOK_S, self._look)
         if self.body is None or pause or self.closing:
             self.clients.uploading.pop(self, None)
         else:
             self.clients.idle.pop(self, None)
             self.clients.note(self.clients.uploading, self)
 
+    def _look(self) -> None:
+        """See whether a client has gone of whom nothing is read, so that its end is not read either.
+
+        Guards against requests of its being sent on from our buffers, or from a wait, long after it left.
+        """
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        if poll.poll(0):
+            return self._gone()
+        self.look = self.clients.node.loop.call_later(LOOK_S, self._look)
+
+    def _look_off(self) -> None:
+        if self.look is not None:
+            self.look.cancel()
+            self.look = None
+
     def _command(self, words: list[bytes], body: Body | None = None) -> None:
         """Carry out a command; one with a long body need not be whole."""
         verb, clients = words[0].upper(), self.clients
@@ -428,13 +449,23 @@
         self._parse()
         self._go_on()
 
-    def connection_lost(self, error: Exception | None) -> None:
-        """A client that goes frees all its state, and the module hears of it."""
+    def _gone(self) -> None:
+        """The client has left: nothing is owed to it, whatever of ours it has not taken yet."""
         self.closing = True
+        self._look_off()
+        self.transport.abort()
         pending, self.pending = self.pending, deque()
         for entry in pending:
             if isinstance(entry, Request):
                 self.clients.node.client_left(entry)
+
+    def eof_received(self) -> None:
+        """Its end counts at once, not when what waits to be written has left."""
+        self._gone()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """A client that goes frees all its state, and the module hears of it."""
+        self._gone()
         self.clients.left(self)
 
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any
 
 import pytest
@@ -12,7 +13,7 @@
 from junipertally.node import clients as clients_module
 from junipertally.node.gateway import Attempt
 from junipertally.node.resp import pack
-from tests.sockets import Client, FailingListener, Held, Peer, World, run, served, soon
+from tests.sockets import Client, FailingListener, Held, Peer, World, reset, run, served, soon
 
 
 def _silent(words: list[bytes]) -> bytes | None:
@@ -292,6 +293,90 @@
     return held
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_a_client_that_leaves_while_its_body_waits_for_a_connection_is_not_sent_on(end: str) -> None:
+    """Nothing is read from it while so much of the body waits, so its end is not read either."""
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            node, start = world.parts.node, world.parts.pools.start
+            held, client = _held(world), await world.client()
+            head = b"c=pay,t=basic,d=5000,units=1,spread=1,first=0"
+            command = pack([b"API.WRITE", b"00000000b4d65521", b"1", head, bytes(200_000)])
+            client.writer.write(command[:150_000])
+            connection, = await _connections(world)
+            while not (held and connection.paused):
+                await asyncio.sleep(0)
+            if end == "reset":
+                reset(client.writer)
+            else:
+                client.writer.close()
+            while not held[0].request.done:
+                await asyncio.sleep(0.01)
+            start(held[0])  # its connection comes up
+            while node.requests:
+                await asyncio.sleep(0.01)
+            assert world.hosts[0].commands.empty() and not node.held_bytes and not node.unanswered
+            assert not node.module.open and not world.parts.clients.connections
+
+    run(main())
+
+
+async def _connections(world: World) -> list[clients_module.ClientConnection]:
+    while not world.parts.clients.connections:
+        await asyncio.sleep(0)
+    return list(world.parts.clients.connections)
+
+
+def test_what_a_client_sent_that_has_gone_is_not_taken_from_the_buffers_any_more() -> None:
+    """Its first requests fill what may be open at once; the others and its end wait unread."""
+    async def main() -> None:
+        async with World(_silent) as world:
+            node, client = world.parts.node, await world.client()
+            for n in range(clients_module.MAX_PENDING + 8):
+                client.ask(b"%d" % n, wait=3000)
+            connection, = await _connections(world)
+            while not connection.paused:
+                await asyncio.sleep(0)
+            client.writer.close()
+            while world.parts.clients.connections:
+                await asyncio.sleep(0.01)
+            assert node.serial == clients_module.MAX_PENDING and not node.module.open and not node.unanswered
+
+    run(main())
+
+
+def test_an_end_counts_at_once_also_while_answers_wait_to_be_written() -> None:
+    async def main() -> None:
+        async with World(lambda words: None if words[2] == b"2" else served(bytes(60_000))) as world:
+            client = await _small_window(world)
+            client.ask(b"1")
+            client.ask(b"2", wait=4000)
+            connection, = await _connections(world)
+            ours = connection.transport.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            while not connection.transport.get_write_buffer_size():
+                await asyncio.sleep(0)
+            assert len(connection.pending) == 1 and not connection.paused
+            client.writer.write_eof()
+            while world.parts.clients.connections:
+                await asyncio.sleep(0.01)
+            request, = world.parts.node.requests.values()  # its attempt is still out
+            assert request.done and world.parts.node.clock.now() < request.until - 500.0
+
+    run(main())
+
+
+async def _small_window(world: World) -> Client:
+    """A client that reads nothing, and for which the system holds little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, world.address)
+    client = Client(*await asyncio.open_connection(sock=sock, limit=1024))
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    return client
+
+
 def test_a_request_that_only_waited_for_a_connection_is_refused_and_not_failed() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
