Answer what is open before SIGKILL also with short deadlines, and take all that wait at the door

And Clients.stop accepted 32 connections that waited before it closed the listener, which resets the others.

Now the time follows from the settings, 0.5 s before SIGKILL (3.2 s where deadlines are 3 s or longer, as before), and stop accepts until none waits.

Tests: figures for four deadlines, the late request with deadlines of 1.5 s, and 96 connections that wait in one turn of the loop: with 3.2 s and a single round of accepts they fail. Guards, right already: SIGTERM twice with SIGHUP between and hosts hanging; SIGTERM at once, when control listens and when the gateway does.

--- a/junipertally/node/__main__.py
+++ b/junipertally/node/__main__.py
@@ -35,7 +35,9 @@
 ACCEPT_MORE_S = 0.5  # new connections go on coming for this long after SIGTERM
 LAST_CALLS_S = 0.05  # for what the counter is told last to leave
 READY_LOOK_S = 0.02  # how often a successor looks whether it is ready to accept
-ANSWER_BY_S = 3.2  # what is open this long after SIGTERM is answered: SIGKILL comes 3.7 s after it
+KILLED_AFTER_S = 0.7  # SIGKILL comes so long after the longest deadline, or after this long at the most:
+LONGEST_S = 3.0
+SPARE_S = 0.5  # so long before it what is open is answered
 
 
 @dataclass(frozen=True)
@@ -269,13 +271,19 @@
     log.info("%s: stopped", config.name)
 
 
+def answer_by(settings: it.Settings) -> float:
+    """How long after SIGTERM what is open is answered, in s: before SIGKILL, whatever the deadlines are."""
+    longest = max((c.deadline_ms for c in settings.classes), default=0.0) / 1000
+    return min(LONGEST_S, longest) + KILLED_AFTER_S - SPARE_S
+
+
 async def finish(parts: Parts, handed_on: bool) -> None:
     """Take requests a little longer, unless the listener is another's to serve; then answer what is open."""
     loop, node = asyncio.get_running_loop(), parts.node
-    end = loop.time() + ANSWER_BY_S
+    end = loop.time() + answer_by(node.settings)
     node.feed(it.Leaving())
     if not handed_on:
-        await asyncio.sleep(ACCEPT_MORE_S)
+        await asyncio.sleep(min(ACCEPT_MORE_S, end - loop.time()))
     parts.clients.stop(not handed_on)
     parts.pools.part()
     await parts.clients.gone(end - loop.time())
--- a/junipertally/node/clients.py
+++ b/junipertally/node/clients.py
@@ -520,28 +520,31 @@
             self.accepting = False
             self.node.loop.remove_reader(self.listener)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
         """Take some of what waits, as far as the budget goes; a client that does nothing gives way.
 
+        Returns whether more may wait.
+
         Guards against a crowd that connects and says nothing pushing out those who are served: of those who
         do nothing, clients that were told to go and ones that never spoke go first.
         """
         for _ in range(ACCEPT_AT_ONCE):
             if self.listener is None:
-                return
+                return False
             spare = self.lingering or self.strangers or self.idle
             if len(self.connections) >= self.budget and not spare:
-                return self._accept_off()  # until a client goes or rests
+                self._accept_off()  # until a client goes or rests
+                return False
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 # Guards against EMFILE ending the accepting for good, or filling the loop with failures.
                 log.warning("accept: %s", errno.errorcode.get(error.errno or 0, "error"))
                 self._accept_off()
                 self.node.loop.call_later(ACCEPT_PAUSE_S, self._accept_on)
-                return
+                return False
             if len(self.connections) >= self.budget:
                 resting = next(iter(spare))
                 self._drop(resting)
@@ -553,6 +556,7 @@
             task = self.node.loop.create_task(self._adopt(connection, sock))
             self.tasks.add(task)  # the loop holds tasks only weakly
             task.add_done_callback(self.tasks.discard)
+        return True
 
     async def _adopt(self, connection: ClientConnection, sock: socket.socket) -> None:
         try:
@@ -603,8 +607,8 @@
 
     def stop(self, take_waiting: bool) -> None:
         """Stop listening, and close each connection once it is answered."""
-        if take_waiting:
-            self._accept()
+        while take_waiting and self._accept():
+            pass  # what waits when the listener closes is reset
         self._accept_off()
         if self.listener is not None:
             self.listener.close()
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -16,8 +16,12 @@
 
 import pytest
 
+from junipertally.node.__main__ import answer_by, finish
+from junipertally.node.clients import ACCEPT_AT_ONCE
 from junipertally.node.discovery import parse_address
-from tests.sockets import WIRE, Client, Discovery, Peer, Totals, entry, run, served, soon
+from junipertally.node.resp import pack
+from junipertally.settings import settings_from
+from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
 
 def _config(folder: Path, **change: Any) -> str:
@@ -97,6 +101,103 @@
     run(main())
 
 
+@pytest.mark.parametrize(("longest_ms", "killed_s"), [(400, 1.1), (1200, 1.9), (3000, 3.7), (9000, 3.7)])
+def test_what_is_open_is_answered_before_sigkill_whatever_the_deadlines_are(
+        longest_ms: float, killed_s: float) -> None:
+    """SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s at the most."""
+    classes = [one | {"hard_limit_ms": longest_ms / (n + 1)} for n, one in enumerate(WIRE["classes"])]
+    assert killed_s - 0.6 < answer_by(settings_from(WIRE | {"classes": classes})) < killed_s - 0.3
+
+
+def test_a_request_that_came_late_after_sigterm_is_answered_before_sigkill_with_short_deadlines() -> None:
+    async def main() -> None:
+        classes = [one | {"hard_limit_ms": 1500} for one in WIRE["classes"]]
+        async with World(lambda words: None, wire={"classes": classes}) as world:
+            client, loop = await world.client(), asyncio.get_running_loop()
+            client.ask(b"1", b"pay", body=b"x")  # keeps the connection open, as its host hangs
+            await soon(world.hosts[0].commands.get())
+            at = loop.time()
+            ending = asyncio.create_task(finish(world.parts, False))
+            await asyncio.sleep(1.3)
+            client.ask(b"2", b"pay", body=b"x")  # its own time ends 2.8 s after SIGTERM
+            assert await client.answer() == await client.answer() == "-ERR failed"
+            assert loop.time() - at < 1.5 + 0.7
+            await ending
+
+    run(main())
+
+
+def test_all_that_wait_to_be_accepted_are_taken_before_the_listener_closes() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            waiting = []
+            for _ in range(3 * ACCEPT_AT_ONCE):  # no turn of the loop between
+                sock = socket.create_connection(world.address)
+                sock.send(pack([b"PING"]))
+                waiting.append(sock)
+            world.parts.clients.budget = len(waiting)
+            world.parts.clients.stop(True)
+            for sock in waiting:
+                client = Client(*await asyncio.open_connection(sock=sock))
+                assert await client.answer() == b"PONG"
+                client.writer.close()
+
+    run(main())
+
+
+def test_a_second_sigterm_and_a_sighup_beside_it_change_nothing_with_hosts_hanging(tmp_path: Path) -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def handler(words: list[bytes]) -> bytes | None:
+            if words[2] == b"hangs":
+                return None
+            await release.wait()
+            return served()
+
+        host, counter = await Peer(handler).start(), await Peer(Totals()).start()
+        path = _config(tmp_path, counter=counter.dial, known={
+            "seq": 1, "whole": True, "hosts": [entry("h", host.dial)]})
+        process, address = await _started(path)
+        client, hanging = [await Client.connect(address) for _ in range(2)]
+        client.ask(b"1")
+        hanging.ask(b"hangs", b"pay", wait=1500, body=b"x")
+        for _ in range(2):
+            await soon(host.commands.get())
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        await _line(process, b"stopping")
+        process.send_signal(signal.SIGHUP)
+        await _line(process, b"configuration read")
+        process.send_signal(signal.SIGTERM)
+        client.ask(b"2")  # its connection is open yet
+        await soon(host.commands.get())
+        release.set()
+        assert [await client.answer() for _ in range(2)] == [b"value"] * 2
+        assert await hanging.answer() == "-ERR failed"
+        assert await soon(process.wait()) == 0
+        for peer in (host, counter):
+            peer.server.close()
+
+    run(main())
+
+
+def test_sigterm_before_it_is_ready_ends_it_and_leaves_no_trace(tmp_path: Path) -> None:
+    async def main() -> None:
+        path = _config(tmp_path)
+        for point in (b"", b"control", b"listening"):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
+                env=os.environ | {"EDGE_CONFIG": path, "EDGE_CONTROL": "127.0.0.1:0"})
+            if point:
+                await _line(process, point)
+            process.send_signal(signal.SIGTERM)
+            rest = await soon(process.stderr.read()) if process.stderr is not None else b""
+            assert await soon(process.wait()) in (0, -signal.SIGTERM) and b"Traceback" not in rest, rest
+
+    run(main())
+
+
 async def _started(path: str, **environment: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
