Hold a keyed repeat to its window also while it waits for a host or a connection

Read: Gateway._may_repeat checks the key's window when an attempt ends, but a repeat that found no host of its group was parked and sent on as soon as one came, and one that got a host may wait for its connection for `connect_timeout_ms` more.

Now a parked repeat is given up when it may not be repeated any more, and Send says within what time an attempt may begin: decided in the module, kept where the first byte is written. What comes too late ends as moot.

Tests: a host of the zone that returns after the window, and a connect that comes up after it: both fail without the mend; the same connect in time is a guard.

--- a/junipertally/interface.py
+++ b/junipertally/interface.py
@@ -288,11 +288,12 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt. `timeout` 0: until the client gives up."""
+    """Start an attempt. `timeout` 0: until the client gives up. Unless begun within `within` it is moot."""
 
     request: int
     host: int
     timeout: float = 0.0
+    within: float = math.inf
 
 
 class Cancel(NamedTuple):
--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -874,10 +874,13 @@
         host.tried = now
         if req.customer is not None:
             req.customer.out += 1
+        anchor, within = req.anchor(), math.inf
+        if anchor is not None and req.klass.effect is it.Effect.KEYED:
+            within = anchor[1] + req.klass.window_ms - BEAT_MS - now  # also if it waits for a connection
         req.out[len(req.sends)] = True
         req.sends.append((host, now))
         req.moving = False
-        self.acts.append(it.Send(req.id, host.id, 0.0))
+        self.acts.append(it.Send(req.id, host.id, 0.0, within))
         self._at(now, self._patience(req, host), self._look_after, req, len(req.sends) - 1)
 
     def _whole(self, now: float, event: it.BodyWhole) -> None:
@@ -1031,7 +1034,10 @@
     def _unpark(self, now: float) -> None:
         """Look again at the requests held for want of a host or of ceiling."""
         for req in list(self.parked.values()):
-            self._send(now, req)
+            if req.sends and not req.live() and not self._may_repeat(now, req):
+                self._give_up(now, req)  # the time in which it may be repeated is over
+            else:
+                self._send(now, req)
 
     def _look_again(self, now: float) -> None:
         """Unpark until none is left."""
--- a/junipertally/node/gateway.py
+++ b/junipertally/node/gateway.py
@@ -101,10 +101,12 @@
 class Attempt:
     """One attempt of a request at a host."""
 
-    __slots__ = ("request", "number", "host", "sent", "until", "connection", "timer")
+    __slots__ = ("request", "number", "host", "sent", "until", "begin_by", "connection", "timer")
 
-    def __init__(self, request: Request, number: int, host: int, sent: float, until: float) -> None:
+    def __init__(self, request: Request, number: int, host: int, sent: float, until: float,
+                 begin_by: float = math.inf) -> None:
         self.request, self.number, self.host, self.sent, self.until = request, number, host, sent, until
+        self.begin_by = begin_by  # a repeat that waited beyond this for its connection is no repeat any more
         self.connection: object | None = None  # once its bytes were handed to one
         self.timer: asyncio.TimerHandle | None = None
 
@@ -307,7 +309,7 @@
         if request is None:
             return self.feed(it.AttemptEnded(action.request, 0, action.host, it.Outcome.MOOT, 0.0, True))
         until = min(request.until, now + action.timeout) if action.timeout else request.until
-        attempt = Attempt(request, len(request.attempts), action.host, now, until)
+        attempt = Attempt(request, len(request.attempts), action.host, now, until, now + action.within)
         request.attempts.append(attempt)
         request.out += 1
         limit = self.settings.limits.max_attempts
--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -294,9 +294,9 @@
     def _begin(self, connection: HostConnection, attempt: Attempt) -> bool:
         """Write an attempt, unless its time for that has passed while it waited for a connection."""
         node, now = self.hosts.node, self.hosts.node.clock.now()
-        if attempt.request.done or self.leaving:
-            # Guards against a connect that comes up late: the request may have ended meanwhile (rule 1), or
-            # the host may leave by now (rule 3). Nothing was written, so nothing ran.
+        if attempt.request.done or self.leaving or now > attempt.begin_by:
+            # Guards against a connect that comes up late: the request may have ended meanwhile (rule 1), its
+            # key may be forgotten (rule 2) or the host may leave by now (rule 3). Nothing was written or ran.
             node.attempt_ended(attempt, it.Outcome.MOOT)
             return False
         connection.begin(attempt, now)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -13,7 +13,7 @@
 
 from junipertally import interface as it
 from junipertally.logic import TARGET, Customer, Gateway, Tiers
-from tests.helpers import LIMITS, PLAN, SAFE, Drive, hosts, of, settings
+from tests.helpers import KEYED, LIMITS, PLAN, SAFE, UNSAFE, Drive, hosts, of, settings
 
 ROOT = Path(__file__).parent.parent
 
@@ -797,6 +797,21 @@
     assert (board.cut, board.share) == (2, 1.0)
 
 
+def test_a_keyed_repeat_that_is_held_for_want_of_a_host_is_given_up_with_its_window() -> None:
+    """The key is dropped by then: a host of its zone that comes back later would run it a second time."""
+    keyed = replace(KEYED, window_ms=300.0)
+    drive = Drive(settings(counter=False, classes=(SAFE, keyed, UNSAFE)), fleet=2)
+    number, actions = drive.arrive(kind=1)
+    send, = of(actions, it.Send)
+    zone = drive.gate.hosts[send.host].zone
+    drive.feed(it.HostList(it.ListKind.DELTA, (it.HostEntry(send.host, zone, 0, it.HostState.DRAINING),)))
+    drive.now += 100.0
+    assert not drive.end(send, it.Outcome.ERROR) or number in drive.gate.parked
+    assert of(drive.beats(300.0), it.Fail) == [it.Fail(number)]
+    back = drive.feed(it.HostList(it.ListKind.DELTA, (it.HostEntry(9, zone, 0, it.HostState.READY),)))
+    assert not of(back + drive.beats(500.0), it.Send)
+
+
 def test_a_refusal_by_a_total_says_when_the_store_holds_the_units_again() -> None:
     drive = Drive(settings())
     _, got = drive.arrive()
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -12,7 +12,7 @@
 from junipertally import interface as it
 from junipertally.node import hosts as hosts_module
 from junipertally.node.gateway import Attempt, Request
-from tests.sockets import Held, Peer, World, entry, reset, run, served, soon
+from tests.sockets import WIRE, Held, Peer, World, entry, reset, run, served, soon
 
 
 class Log:
@@ -310,6 +310,37 @@
     run(main())
 
 
+@pytest.mark.parametrize("late", [True, False])
+def test_a_keyed_repeat_that_waited_for_its_connection_beyond_the_window_is_not_written(late: bool) -> None:
+    """The window counts from the first attempt's send; the connect of the repeat comes up when it is over."""
+    async def main() -> None:
+        classes = [one | {"window_ms": 1000, "group": "all"} for one in WIRE["classes"]]
+        async with World(lambda words: b"-ERR failed\r\n", lambda words: b"-ERR failed\r\n",
+                         wire={"classes": classes}) as world:
+            node, pools, client = world.parts.node, world.parts.pools, await world.client()
+            start, held = pools.start, list[Attempt]()
+
+            def hold(attempt: Attempt) -> None:
+                held.append(attempt)
+                if len(held) == 1:
+                    start(attempt)
+
+            pools.start = hold  # type: ignore[method-assign]
+            client.ask(b"1", b"send", extra=b"k=77,", body=b"x")
+            while len(held) < 2:
+                await asyncio.sleep(0)
+            pools.start = start  # type: ignore[method-assign]
+            if late:
+                now = node.clock.now
+                node.clock.now = lambda: now() + 1000.0  # type: ignore[method-assign]
+            start(held[1])
+            assert str(await client.answer()).startswith("-BUSY")  # its key binds all hosts: harmless
+            written = sum(host.commands.qsize() for host in world.hosts)
+            assert written == 1 if late else written > 1
+
+    run(main())
+
+
 def test_a_keyed_repeat_keeps_its_key_and_its_zone() -> None:
     async def main() -> None:
         handler = _first({b"1": Peer.RESET}, served())
