One connection for each call to discovery, as it was in fact, said plainly

Seen by a test of the move at SIGHUP: the parser says `should_keep_alive() == False` once an answer is whole, so that each call has always had a connection of its own. That is what keeps a late or second answer of the agent from being taken for the next call's, so it stays, and the check that never held goes.

Guards, right already: an answer of the old address in the system's buffers when we move; indented lists; cut ones.

--- a/junipertally/node/discovery.py
+++ b/junipertally/node/discovery.py
@@ -86,7 +86,6 @@
         self.pause_most_ms = min(RETRY_MOST_MS * self.gateways, ASK_PART * rules.ask_within_ms)
         self.rng = random.Random(seed)
         self.older_since: float | None = None  # when lists older than ours began to come
-        self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.watch: asyncio.Task[None] | None = None
 
@@ -218,19 +217,18 @@
 
     async def _get(self, path: str, patience_ms: float) -> Any:
         async with asyncio.timeout(patience_ms / 1000):
-            if self.writer is None or self.reader is None:
-                self.reader, self.writer = await asyncio.open_connection(*self.address)
+            reader, self.writer = await asyncio.open_connection(*self.address)
             self.writer.write(b"GET %s HTTP/1.1\r\nHost: %s:%d\r\nAccept: application/json\r\n\r\n" % (
                 path.encode(), self.address[0].encode(), self.address[1]))
             response = _Response()
             parser = httptools.HttpResponseParser(response)
             while not response.done:
-                data = await self.reader.read(1 << 16)
+                data = await reader.read(1 << 16)
                 if not data:
                     raise ConnectionError("discovery closed the connection")
                 parser.feed_data(data)
-        if not parser.should_keep_alive():
-            self._hang_up()
+        # A connection for each call: what comes late or twice is never taken for the next call's answer.
+        self._hang_up()
         if parser.get_status_code() != 200:
             raise Refused(f"status {parser.get_status_code()}")
         return json.loads(response.body)
@@ -238,4 +236,4 @@
     def _hang_up(self) -> None:
         if self.writer is not None:
             self.writer.transport.abort()
-        self.reader = self.writer = None
+        self.writer = None
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -105,6 +105,7 @@
     def __init__(self) -> None:
         self.calls: asyncio.Queue[str] = asyncio.Queue()
         self.answers: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> Discovery:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -116,6 +117,7 @@
         self.answers.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import json
+import select
+import socket
 from collections.abc import Iterator
 from functools import partial
 from typing import Any
@@ -402,6 +405,41 @@
     run(_watching(test))
 
 
+def test_an_answer_of_the_old_address_that_comes_with_the_move_is_not_put_over_the_new_list() -> None:
+    """It is in the system's buffers when SIGHUP moves us, and the loop has not read it yet."""
+    async def test(watch: Watch) -> None:
+        old, news = watch.discovery.writer, Agent()
+        await news.start()
+        assert old is not None
+        watch.agent.put({"seq": 9, "whole": True, "hosts": [entry("c", "127.0.0.1:3")]})
+        raw = socket.socket(fileno=socket.dup(old.get_extra_info("socket").fileno()))
+        while not select.select([raw], [], [], 0)[0]:  # the agent has written it
+            if not watch.agent.answers.empty():
+                watch.agent.writers[-1].write(watch.agent.answers.get_nowait() or b"")
+        raw.close()
+        watch.discovery.move(news.address)
+        news.put({"seq": 2, "whole": True, "hosts": [entry("b", "127.0.0.1:2", "west")]})
+        assert await watch.next() == (it.ListKind.FULL, [(2, it.HostState.READY)])
+        assert await soon(news.calls.get()) == "/discovery/hosts"
+        assert "index=2&" in await soon(news.calls.get()) and watch.lists.empty()
+        await watch.discovery.stop()
+        news.server.close()
+
+    run(_watching(test))
+
+
+def test_a_list_may_come_indented_and_cut_ones_change_nothing() -> None:
+    async def test(watch: Watch) -> None:
+        whole = json.dumps({"seq": 6, "whole": True, "hosts": [entry("a", "127.0.0.1:1")]}, indent=4).encode()
+        watch.agent.put(whole[:-20])
+        assert "index=5&" in await soon(watch.agent.calls.get())
+        assert watch.lists.empty()
+        watch.agent.put(whole)
+        assert await watch.next() == (it.ListKind.FULL, [(1, it.HostState.READY)])
+
+    run(_watching(test))
+
+
 def test_gateways_come_back_to_discovery_out_of_step() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
