Give back the units of a try that ended without having come to a host

Gateway._admit took them from the store and told them to the count, but where the client left while the attempt waited for its connection, or no host could be reached, nobody gave them back; a try whose client left while it waited for the counter did.

Now a try that ends with no attempt but ones that were not sent or could not connect gives its units back once, also when its last attempt ends after the request.

Test: the client leaves while its request waits for the counter, for a connection, and behind another one; the two of a connection fail without the mend. Guards: waits for a slot free none twice; an answer in the system's buffers as its time ends completes the attempt once; a connect that comes up as its time ends leaves nothing.

--- a/junipertally/logic.py
+++ b/junipertally/logic.py
@@ -82,7 +82,7 @@
     """One open request."""
 
     __slots__ = ("id", "deadline", "arrived", "kind", "klass", "plan", "units", "customer", "sends", "out",
-                 "bound", "moving", "held_until", "draw", "whole", "once", "light")
+                 "bound", "moving", "held_until", "draw", "whole", "once", "light", "charged")
 
     def __init__(self, event: it.Arrived, now: float, klass: it.RequestClass, draw: float) -> None:
         self.id, self.deadline, self.arrived = event.request, event.deadline, now
@@ -91,6 +91,7 @@
         self.sends: list[tuple[Host, float]] = []  # attempts by number
         self.out: dict[int, bool] = {}  # attempt -> still out; attempts proved never to have run are dropped
         self.bound = self.moving = False
+        self.charged = False  # whether its units are taken and no attempt has come whole to a host
         self.whole = event.whole
         self.once = not event.whole  # what is passed on as it comes can't be moved to another host
         self.light: frozenset[int] = NONE  # attempts that are no load: their bytes are on their way, or back
@@ -670,6 +671,7 @@
             self._admit(now, req, admitted)
 
     def _admit(self, now: float, req: Try, admitted: bool) -> None:
+        req.charged = admitted
         if admitted:
             self._start(now, req)
         else:
@@ -937,6 +939,8 @@
         late = self.leaving.get(event.request)
         host = self.hosts.get(event.host)
         holder = req or late
+        if holder is not None and event.outcome not in (Outcome.UNREACHABLE, Outcome.MOOT):
+            holder.charged = False
         light = holder is not None and event.attempt in holder.light
         if host is not None:
             host.out = max(0, host.out - (not light))
@@ -1014,6 +1018,15 @@
             self.parked.pop(req.id, None)
             if req.live():
                 self.leaving[req.id] = req
+            else:
+                self._uncharge(req)
+
+    def _uncharge(self, req: Try) -> None:
+        """Give back the units of a try that has ended and never came to a host: it has taken none."""
+        if req.charged and req.customer is not None:
+            req.charged = False
+            req.customer.level += req.units
+            req.customer.pending -= req.units * self.set.counter
 
     def _left(self, now: float, req: Try | None) -> None:
         """The client has gone: attempts that still fill its customer's cap are called off."""
@@ -1030,6 +1043,7 @@
             req.out[attempt] = False
             if not req.live():
                 del self.leaving[req.id]
+                self._uncharge(req)
 
     def _unpark(self, now: float) -> None:
         """Look again at the requests held for want of a host or of ceiling."""
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -797,6 +797,20 @@
     assert (board.cut, board.share) == (2, 1.0)
 
 
+def test_a_request_whose_client_left_while_it_waited_for_a_slot_is_not_sent_and_frees_none_twice() -> None:
+    capped = replace(PLAN, rate=0.0, burst=0.0, parallel=2)
+    drive = Drive(settings(counter=False, plans=(capped,), limits=LIMITS))
+    sends = of(drive.arrive(spread=2.0)[1], it.Send)
+    waiting, actions = drive.arrive(spread=2.0)
+    assert len(sends) == 1 and not actions
+    drive.feed(it.RequestGone(waiting))
+    drive.feed(it.RequestGone(waiting))
+    assert not of(drive.end(sends[0], it.Outcome.OK), it.Send)
+    customer, = drive.gate.customers.values()
+    assert customer.out == 0 and not customer.queue
+    assert len(of(drive.arrive(spread=2.0)[1], it.Send)) == 1 and customer.out == 1
+
+
 def test_a_keyed_repeat_that_is_held_for_want_of_a_host_is_given_up_with_its_window() -> None:
     """The key is dropped by then: a host of its zone that comes back later would run it a second time."""
     keyed = replace(KEYED, window_ms=300.0)
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -10,10 +10,11 @@
 import pytest
 
 from junipertally import interface as it
+from junipertally.logic import Customer
 from junipertally.node import clients as clients_module
 from junipertally.node.gateway import Attempt
 from junipertally.node.resp import pack
-from tests.sockets import Client, FailingListener, Held, Peer, World, reset, run, served, soon
+from tests.sockets import WIRE, Client, FailingListener, Held, Peer, Totals, World, reset, run, served, soon
 
 
 def _silent(words: list[bytes]) -> bytes | None:
@@ -377,6 +378,50 @@
     return client
 
 
+@pytest.mark.parametrize("what", ["counter", "connection", "another"])
+def test_a_request_whose_client_left_while_it_waited_is_not_sent_on_and_gives_back_what_it_held(
+        what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Customer, "put_right", lambda *_: None)  # tells of a window that began before
+
+    async def main() -> None:
+        release, totals = asyncio.Event(), Totals()
+
+        async def counter(words: list[bytes]) -> bytes:
+            if what == "counter":
+                await release.wait()
+            return totals(words)
+
+        wire = {"family_info": WIRE["family_info"] | {"counter_timeout_ms": 20_000}}
+        async with World(_silent, counter=counter, wire=wire) as world:
+            node, start, client = world.parts.node, world.parts.pools.start, await world.client()
+            if what == "another":
+                client.ask(b"0", wait=3000)
+                await soon(world.hosts[0].commands.get())
+            held = _held(world)
+            client.ask(b"1", wait=3000)
+            if what == "counter":
+                await soon(world.counter.commands.get())
+            else:
+                while not held:
+                    await asyncio.sleep(0)
+            client.writer.close()
+            while world.parts.clients.connections:
+                await asyncio.sleep(0)
+            release.set()
+            for attempt in held:
+                start(attempt)
+            customer, = node.module.customers.values()
+            while customer.call is not None or customer.waiting:
+                await asyncio.sleep(0.01)
+            while len(node.requests) > (what == "another"):
+                await asyncio.sleep(0.01)
+            assert world.hosts[0].commands.empty() and not node.module.open
+            total = totals.totals[b"%d" % node.module._name(customer, customer.window)]
+            assert total + customer.pending == (1 if what == "another" else 0)  # that one came to a host
+
+    run(main())
+
+
 def test_a_request_that_only_waited_for_a_connection_is_refused_and_not_failed() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -341,6 +342,47 @@
     run(main())
 
 
+def test_an_answer_that_comes_as_its_time_ends_completes_the_attempt_once() -> None:
+    """It is in the system's buffers when the timer fires, and the loop has not read it yet."""
+    async def main() -> None:
+        async with World(lambda words: None) as world:
+            log, node = Log(world), world.parts.node
+            attempt = _attempt(world)
+            world.parts.pools.start(attempt)
+            await soon(world.hosts[0].commands.get())
+            peer, connection = _peer_of(world), attempt.connection
+            raw = socket.socket(fileno=socket.dup(peer.get_extra_info("socket").fileno()))
+            raw.send(served())
+            raw.close()
+            node._timed_out(attempt)  # no turn of the loop between
+            node._timed_out(attempt)
+            node.attempt_ended(attempt, it.Outcome.OK, b"value")
+            assert (await log.ended()).outcome is it.Outcome.TIMEOUT
+            await soon(world.hosts[0].closed.get())
+            assert isinstance(connection, hosts_module.HostConnection) and connection.closed
+            assert attempt.request.out == 0 and log.events.empty() and not world.parts.pools.open
+
+    run(main())
+
+
+def test_a_connect_that_comes_up_as_its_time_ends_leaves_no_connection_behind() -> None:
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            log, pools = Log(world), world.parts.pools
+            pools.start(_attempt(world))
+            while not pools.connecting:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)  # the connect is under way
+            time.sleep(0.3)  # it has come up and its time is over when the loop looks again
+            outcome = (await log.ended()).outcome
+            if outcome is it.Outcome.UNREACHABLE:
+                await soon(world.hosts[0].closed.get())
+                assert world.hosts[0].commands.empty() and not pools.open
+            assert not pools.connecting and pools.open == len(pools.pools[1].all)
+
+    run(main())
+
+
 def test_a_keyed_repeat_keeps_its_key_and_its_zone() -> None:
     async def main() -> None:
         handler = _first({b"1": Peer.RESET}, served())
