Open another connection while one settles: to wait for it cost CPU where traffic is dense

Nearly every attempt found a connection that had just answered, waited 10 ms for it and woke the loop once more.

A host that refuses another connection is not unreachable while one of ours to it settles.

--- a/junipertally/node/hosts.py
+++ b/junipertally/node/hosts.py
@@ -14,7 +14,7 @@
 STALL_S = 0.5  # how long a short answer that has begun may stand still
 VALUE_STALL_S = 4.0  # how long a long one may
 UPLOAD_STALL_S = 3.0  # how long a host may take nothing of a body that is passed on
-SETTLE_S = 0.01  # a connection rests so long before it serves again: second answers come some ms late
+SETTLE_MS = 10.0  # a connection rests so long before it serves again: second answers come some ms late
 IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
 
 
@@ -37,7 +37,6 @@
         self.pool, self.address = pool, address
         self.attempt: Attempt | None = None
         self.idle_since = pool.hosts.node.clock.now()  # until then it carried something, or was not up
-        self.settling: asyncio.TimerHandle | None = None  # its answer is whole, but it may not serve yet
         self.poll = select.poll()
         self.stall: asyncio.TimerHandle | None = None  # while the host owes us bytes, or has to take ours
         self.uploading = False  # the command's body is not whole
@@ -209,7 +208,8 @@
             return self.close()
         self._stall_off()
         self.fields, self.buffer = None, b""
-        self.pool.settle(self)
+        self.idle_since = self.pool.hosts.node.clock.now()
+        self.pool.rest(self)
 
     def spoilt(self) -> None:
         """Give up on an answer that can be none, or that does not go on; its request may have run.
@@ -267,30 +267,39 @@
         self.gone = False
         self.idle: deque[HostConnection] = deque()  # most recently used last
         self.all: set[HostConnection] = set()
-        self.settling: deque[HostConnection] = deque()  # these carry nothing, and will soon rest too
         self.connecting = 0
         self.waiting: deque[Attempt] = deque()
         self.sweeper: asyncio.TimerHandle | None = None
+        self.settler: asyncio.TimerHandle | None = None  # while who could not connect waits for one to settle
 
     def start(self, attempt: Attempt) -> None:
-        """Use the connection used last, or wait for one."""
-        now = self.hosts.node.clock.now()
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.fit(now):
-                connection.close()
-                continue
-            if not self._begin(connection, attempt):
-                self._rest(connection)
-            return
+        """Use a connection that rests, or open one."""
         self.waiting.append(attempt)
-        self._supply()
+        self._serve()
 
-    def _supply(self) -> None:
-        """Open a connection if fewer will soon be free than attempts wait for one."""
-        if self.connecting + len(self.settling) < len(self.waiting):
+    def _serve(self) -> None:
+        """Give those who wait what has settled, and open a connection if too few are on their way."""
+        self._use_settled()
+        if self.connecting < len(self.waiting):
             self._open()
 
+    def _use_settled(self) -> None:
+        """Use those last used first, but none whose first answer may yet be followed by a second one."""
+        now = self.hosts.node.clock.now()
+        while self.waiting:
+            found = next((c for c in reversed(self.idle) if now - c.idle_since >= SETTLE_MS), None)
+            if found is None:
+                return
+            self.idle.remove(found)
+            if not found.fit(now):
+                found.close()
+            elif not self._begin(found, self.waiting.popleft()):
+                self.rest(found)
+
+    def _settled(self) -> None:
+        self.settler = None
+        self._serve()
+
     def _begin(self, connection: HostConnection, attempt: Attempt) -> bool:
         """Write an attempt, unless its time for that has passed while it waited for a connection."""
         node, now = self.hosts.node, self.hosts.node.clock.now()
@@ -330,8 +339,12 @@
             self.all.add(connection)
             self.hosts.open += 1
             return self.freed(connection)
-        if self.connecting + len(self.settling) < len(self.waiting):
-            node.attempt_ended(self.waiting.popleft(), it.Outcome.UNREACHABLE)
+        self._use_settled()
+        if self.connecting < len(self.waiting):
+            if not self.idle:
+                node.attempt_ended(self.waiting.popleft(), it.Outcome.UNREACHABLE)
+            elif self.settler is None:  # the host may hold no more, and these will serve soon
+                self.settler = node.loop.call_later(SETTLE_MS / 1000, self._settled)
         self.forget_if_over()
 
     def freed(self, connection: HostConnection) -> None:
@@ -339,29 +352,14 @@
         if connection.address != self.address:
             # Guards against a connect that was under way when the list moved the host.
             connection.close()
-            return self._supply()
+            return self._serve()
         while self.waiting and not connection.closed:
             if self._begin(connection, self.waiting.popleft()):
                 return
-        self._rest(connection)
+        self.rest(connection)
 
-    def settle(self, connection: HostConnection) -> None:
-        """Keep a connection whose answer is whole, but let it serve only once no second one can be behind.
-
-        Guards against a second answer that comes late being taken for the answer to the next request.
-        """
-        if self.leaving or connection.closed or self.hosts.parting:
-            return connection.close()
-        connection.idle_since = self.hosts.node.clock.now()
-        self.settling.append(connection)
-        connection.settling = self.hosts.node.loop.call_later(SETTLE_S, self._settled, connection)
-
-    def _settled(self, connection: HostConnection) -> None:
-        self.settling.remove(connection)
-        connection.settling = None
-        self.freed(connection)
-
-    def _rest(self, connection: HostConnection) -> None:
+    def rest(self, connection: HostConnection) -> None:
+        """Keep a connection that carries nothing, if it may be of use."""
         if self.leaving or connection.closed or self.hosts.parting:
             return connection.close()
         self.idle.append(connection)
@@ -380,8 +378,8 @@
 
     def close_idle(self) -> None:
         """Close the connections that carry nothing."""
-        for connection in [*self.idle, *self.settling]:
-            connection.close()
+        while self.idle:
+            self.idle[0].close()
 
     def close_unheard(self, since: float) -> None:
         """Close resting connections that were last heard before an attempt went out and got no answer.
@@ -389,9 +387,8 @@
         Guards against a machine that vanished: its connections stay open and swallow one attempt each,
         which then may have run; a new connect that fails proves that nothing did.
         """
-        for connection in [*self.idle, *self.settling]:
-            if connection.idle_since < since:
-                connection.close()
+        while self.idle and self.idle[0].idle_since < since:
+            self.idle[0].close()
 
     def lost(self, connection: HostConnection) -> None:
         """Forget a connection."""
@@ -400,11 +397,6 @@
             self.hosts.open -= 1
         if connection in self.idle:
             self.idle.remove(connection)
-        if connection.settling is not None:
-            connection.settling.cancel()
-            connection.settling = None
-            self.settling.remove(connection)
-            self.hosts.node.loop.call_soon(self._supply)  # not amid making room for one
         self.forget_if_over()
 
     def forget_if_over(self) -> None:
@@ -486,7 +478,7 @@
         """Whether one more connection fits the budget, after closing an idle one if it must."""
         if self.open + self.connecting < self.budget:
             return True
-        resting = [(p.idle or p.settling)[0] for p in self.pools.values() if p.idle or p.settling]
+        resting = [p.idle[0] for p in self.pools.values() if p.idle]
         if not resting:
             return False
         min(resting, key=lambda c: c.idle_since).close()
