Rename the package to rainturn, the product's name

The package still had the name it was handed over with, and one error line of the program a third one, so nobody could tell from a log or an import which product it was. Nothing else changes: the same files under another folder.

--- a/junipertally/benchlink.py
+++ b/rainturn/benchlink.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO, NoReturn
 
-from junipertally import interface as it
-from junipertally.logic import Gateway
-from junipertally.settings import read_settings
+from rainturn import interface as it
+from rainturn.logic import Gateway
+from rainturn.settings import read_settings
 
 MAX_FRAME = 1 << 30
 BATCH = struct.Struct("<IdII")
@@ -216,7 +216,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"junipertally: {error}", file=sys.stderr)
+        print(f"rainturn: {error}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0)
 
--- a/junipertally/logic.py
+++ b/rainturn/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway. Types, events and actions: junipertally/interface.py. Why: docs/findings/."""
+"""Every decision of a gateway. Types, events and actions: rainturn/interface.py. Why: docs/findings/."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from junipertally import interface as it
-from junipertally.interface import Action, Outcome
+from rainturn import interface as it
+from rainturn.interface import Action, Outcome
 
 PERIOD_MS = 500.0  # T of the paper: short against aims, so that a surge is met before its answers are late
 TARGET = 0.9  # the paper's 0.6 is of a CPU; ours is of measured departures, so only queues need the rest
--- a/junipertally/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -18,17 +18,17 @@
 
 import uvloop
 
-from junipertally import interface as it
-from junipertally.node.clients import Clients
-from junipertally.node.control import CONNECTIONS, Answer, Control, Route
-from junipertally.node.counter import Counter
-from junipertally.node.discovery import Discovery, parse_address
-from junipertally.node.gateway import Clock, Node
-from junipertally.node.handover import Handover, inherited
-from junipertally.node.hosts import HostPools
-from junipertally.settings import Names, names_from, settings_from
-
-log = logging.getLogger("junipertally.node")
+from rainturn import interface as it
+from rainturn.node.clients import Clients
+from rainturn.node.control import CONNECTIONS, Answer, Control, Route
+from rainturn.node.counter import Counter
+from rainturn.node.discovery import Discovery, parse_address
+from rainturn.node.gateway import Clock, Node
+from rainturn.node.handover import Handover, inherited
+from rainturn.node.hosts import HostPools
+from rainturn.settings import Names, names_from, settings_from
+
+log = logging.getLogger("rainturn.node")
 
 RESERVE = 48  # descriptors kept back: loop, log, listeners, discovery, counter, a connection on its way out
 HOSTS_PART = 0.4  # part of the others that connections to hosts may take
@@ -303,7 +303,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, descriptors))
     except (ValueError, OSError) as error:
-        print(f"violetfield: {error}", file=sys.stderr)
+        print(f"rainturn: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/junipertally/node/body.py
+++ b/rainturn/node/body.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from junipertally.node.resp import WHOLE
+from rainturn.node.resp import WHOLE
 
 
 class Sink(Protocol):
--- a/junipertally/node/clients.py
+++ b/rainturn/node/clients.py
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 from typing import cast
 
-from junipertally import interface as it
-from junipertally.node.body import Body
-from junipertally.node.counters import Ending
-from junipertally.node.gateway import MARGIN_MS, Node, Request
-from junipertally.node.resp import Spoilt, command, unsent
-from junipertally.settings import Names
+from rainturn import interface as it
+from rainturn.node.body import Body
+from rainturn.node.counters import Ending
+from rainturn.node.gateway import MARGIN_MS, Node, Request
+from rainturn.node.resp import Spoilt, command, unsent
+from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
 
--- a/junipertally/node/counter.py
+++ b/rainturn/node/counter.py
@@ -6,9 +6,9 @@
 import logging
 from collections import deque
 
-from junipertally import interface as it
-from junipertally.node.gateway import Node
-from junipertally.node.resp import Outgoing, Spoilt, pack, total
+from rainturn import interface as it
+from rainturn.node.gateway import Node
+from rainturn.node.resp import Outgoing, Spoilt, pack, total
 
 log = logging.getLogger(__name__)
 
--- a/junipertally/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -13,9 +13,9 @@
 
 import httptools
 
-from junipertally import interface as it
-from junipertally.node.gateway import Node
-from junipertally.node.hosts import HostPools
+from rainturn import interface as it
+from rainturn.node.gateway import Node
+from rainturn.node.hosts import HostPools
 
 log = logging.getLogger(__name__)
 
--- a/junipertally/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from junipertally import interface as it
-from junipertally.logic import Gateway
-from junipertally.node.body import Body
-from junipertally.node.counters import Counters, Ending
+from rainturn import interface as it
+from rainturn.logic import Gateway
+from rainturn.node.body import Body
+from rainturn.node.counters import Counters, Ending
 
 log = logging.getLogger(__name__)
 
--- a/junipertally/node/hosts.py
+++ b/rainturn/node/hosts.py
@@ -7,9 +7,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from junipertally import interface as it
-from junipertally.node.gateway import Attempt, Node
-from junipertally.node.resp import LongValue, Outgoing, Spoilt, answer, end_sending, fields, pack, unsent
+from rainturn import interface as it
+from rainturn.node.gateway import Attempt, Node
+from rainturn.node.resp import LongValue, Outgoing, Spoilt, answer, end_sending, fields, pack, unsent
 
 STALL_S = 0.5  # how long a short answer that has begun may stand still
 VALUE_STALL_S = 4.0  # how long a long one may
--- a/junipertally/settings.py
+++ b/rainturn/settings.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any, NamedTuple
 
-from junipertally import interface as it
+from rainturn import interface as it
 
 EFFECTS = {"retryable": it.Effect.SAFE, "dedup": it.Effect.KEYED, "fragile": it.Effect.UNSAFE}
 GROUPS = {"all": it.Group.ALL, "zone": it.Group.ZONE, "cell": it.Group.CELL}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from junipertally import interface as it
-from junipertally.logic import Gateway
+from rainturn import interface as it
+from rainturn.logic import Gateway
 
 SAFE = it.RequestClass(it.Effect.SAFE, aim_ms=1500, deadline_ms=6000, worth=1)
 KEYED = replace(SAFE, effect=it.Effect.KEYED, group=it.Group.ZONE, window_ms=12_000, worth=5, late_worth=0.2)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,8 +14,8 @@
 import hiredis
 import uvloop
 
-from junipertally.node.__main__ import Parts, assemble, parse_config
-from junipertally.node.resp import pack
+from rainturn.node.__main__ import Parts, assemble, parse_config
+from rainturn.node.resp import pack
 
 LONG = 10.0  # no test waits for this: it only ends one that hangs
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from junipertally import benchlink, settings
-from junipertally import interface as it
+from rainturn import benchlink, settings
+from rainturn import interface as it
 
 SETTINGS: dict[str, Any] = {
     "me": 1, "balancers": 2, "my_zone": 0, "tick_ms": 4.0, "discovery": "push", "made_up_key": 3,
@@ -51,7 +51,7 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "junipertally.benchlink"], input=data, capture_output=True,
+    return subprocess.run([sys.executable, "-m", "rainturn.benchlink"], input=data, capture_output=True,
                           timeout=30, env=dict(os.environ))
 
 
@@ -130,7 +130,7 @@
 def test_malformed_input_ends_with_one_line_and_a_failure(data: bytes) -> None:
     done = run(data)
     assert done.returncode == 2
-    assert done.stderr.startswith(b"junipertally: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"rainturn: ") and done.stderr.count(b"\n") == 1
 
 
 def test_end_of_input_is_a_clean_exit() -> None:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.logic import CROWD_MOST, TARGET, Customer, Gateway, Tiers
+from rainturn import interface as it
+from rainturn.logic import CROWD_MOST, TARGET, Customer, Gateway, Tiers
 from tests.helpers import KEYED, LIMITS, PLAN, SAFE, UNSAFE, Drive, hosts, of, settings
 
 ROOT = Path(__file__).parent.parent
@@ -764,17 +764,17 @@
 
 
 def test_the_module_keeps_its_limits() -> None:
-    lines = (ROOT / "junipertally/logic.py").read_text().splitlines()
+    lines = (ROOT / "rainturn/logic.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "junipertally/interface.py" in lines[0]
+    assert "rainturn/interface.py" in lines[0]
 
 
 SCRIPT = """
 from tests.helpers import Drive, settings, of
 import pytest
 
-from junipertally import interface as it
+from rainturn import interface as it
 d = Drive(settings(), fleet=9)
 for n in range(300):
     d.now += 7.0
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -11,12 +11,12 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.logic import Customer
-from junipertally.node import clients as clients_module
-from junipertally.node.gateway import Attempt
-from junipertally.node.hosts import HostConnection
-from junipertally.node.resp import pack
+from rainturn import interface as it
+from rainturn.logic import Customer
+from rainturn.node import clients as clients_module
+from rainturn.node.gateway import Attempt
+from rainturn.node.hosts import HostConnection
+from rainturn.node.resp import pack
 from tests.sockets import WIRE, Client, FailingListener, Held, Peer, Totals, World, reset, run, served, soon
 
 
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.node import clients as clients_module
-from junipertally.node import control as control_module
-from junipertally.node.resp import pack
+from rainturn import interface as it
+from rainturn.node import clients as clients_module
+from rainturn.node import control as control_module
+from rainturn.node.resp import pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.helpers import hosts as host_list
 from tests.sockets import FailingListener, Held, Peer, World, call, control, run, served, soon
--- a/tests/test_node_crowd.py
+++ b/tests/test_node_crowd.py
@@ -16,10 +16,10 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.logic import Gateway
-from junipertally.node.discovery import parse_address
-from junipertally.settings import settings_from
+from rainturn import interface as it
+from rainturn.logic import Gateway
+from rainturn.node.discovery import parse_address
+from rainturn.settings import settings_from
 from tests.sockets import WIRE, Client, Held, Peer, Totals, World, control, entry, run, served, soon
 from tests.sockets import Discovery as Agent
 
@@ -38,7 +38,7 @@
     path = folder / "config.json"
     path.write_text(json.dumps(source))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
         env=os.environ | {"EDGE_CONFIG": str(path)})
     try:
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.node import hosts as hosts_module
-from junipertally.node.gateway import Attempt, Request
+from rainturn import interface as it
+from rainturn.node import hosts as hosts_module
+from rainturn.node.gateway import Attempt, Request
 from tests.sockets import WIRE, Held, Peer, World, entry, reset, run, served, soon
 
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -16,11 +16,11 @@
 
 import pytest
 
-from junipertally.node.__main__ import answer_by, finish
-from junipertally.node.clients import ACCEPT_AT_ONCE
-from junipertally.node.discovery import parse_address
-from junipertally.node.resp import pack
-from junipertally.settings import settings_from
+from rainturn.node.__main__ import answer_by, finish
+from rainturn.node.clients import ACCEPT_AT_ONCE
+from rainturn.node.discovery import parse_address
+from rainturn.node.resp import pack
+from rainturn.settings import settings_from
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
 
@@ -43,10 +43,10 @@
         path = _config(tmp_path, **({"listen": listen} | (change if isinstance(change, dict) else {})))
         if change == "text":
             Path(path).write_text("no JSON")
-        done = subprocess.run([sys.executable, "-m", "junipertally.node"], capture_output=True, timeout=30,
+        done = subprocess.run([sys.executable, "-m", "rainturn.node"], capture_output=True, timeout=30,
                               env=os.environ | {"EDGE_CONFIG": path})
     lines = done.stderr.decode().splitlines()
-    assert done.returncode != 0 and len(lines) == 1 and lines[0].startswith("violetfield: "), lines
+    assert done.returncode != 0 and len(lines) == 1 and lines[0].startswith("rainturn: "), lines
 
 
 def test_sigterm_lets_it_answer_what_is_open_and_exit_with_0(tmp_path: Path) -> None:
@@ -63,7 +63,7 @@
         path = _config(tmp_path, counter=counter.dial, known={
             "seq": 1, "whole": True, "hosts": [entry("h", host.dial)]})
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
             env=os.environ | {"EDGE_CONFIG": path})
         assert process.stderr is not None
         while b"listening" not in (line := await soon(process.stderr.readline())):
@@ -187,7 +187,7 @@
         path = _config(tmp_path)
         for point in (b"", b"control", b"listening"):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
+                sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
                 env=os.environ | {"EDGE_CONFIG": path, "EDGE_CONTROL": "127.0.0.1:0"})
             if point:
                 await _line(process, point)
@@ -200,7 +200,7 @@
 
 async def _started(path: str, **environment: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
         env=os.environ | {"EDGE_CONFIG": path} | environment)
     return process, parse_address((await _line(process, b"listening")).split()[-1])
 
@@ -267,7 +267,7 @@
 
 def test_the_build_compiles_the_program_so_that_a_start_need_not(tmp_path: Path) -> None:
     root = Path(__file__).parent.parent
-    shutil.copytree(root / "junipertally", tmp_path / "junipertally",
+    shutil.copytree(root / "rainturn", tmp_path / "rainturn",
                     ignore=shutil.ignore_patterns("__pycache__"))
     python = tmp_path / ".venv" / "bin" / "python"
     python.parent.mkdir(parents=True)
@@ -276,4 +276,4 @@
     build = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["build"]
     subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, check=True, timeout=60)
     compiled = {path.name.partition(".")[0] for path in tmp_path.rglob("*.pyc")}
-    assert compiled == {path.stem for path in (tmp_path / "junipertally").rglob("*.py")}
+    assert compiled == {path.stem for path in (tmp_path / "rainturn").rglob("*.py")}
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -14,10 +14,10 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.node import counter as counter_module
-from junipertally.node import discovery as discovery_module
-from junipertally.node.discovery import WAIT_MS, Discovery, Refused
+from rainturn import interface as it
+from rainturn.node import counter as counter_module
+from rainturn.node import discovery as discovery_module
+from rainturn.node.discovery import WAIT_MS, Discovery, Refused
 from tests.sockets import WIRE, Peer, World, entry, run, served, soon
 from tests.sockets import Discovery as Agent
 
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.node import clients as clients_module
-from junipertally.node import hosts as hosts_module
-from junipertally.node.resp import WHOLE, pack
+from rainturn import interface as it
+from rainturn.node import clients as clients_module
+from rainturn.node import hosts as hosts_module
+from rainturn.node.resp import WHOLE, pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.sockets import Client, World, reset, run, served, soon
 
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -17,8 +17,8 @@
 
 import pytest
 
-from junipertally import interface as it
-from junipertally.node.handover import NOTE, STATE, Handover, inherited
+from rainturn import interface as it
+from rainturn.node.handover import NOTE, STATE, Handover, inherited
 from tests.helpers import PLAN, Drive, of, settings
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, control, entry, run, served, soon
 
@@ -60,7 +60,7 @@
         run_in.mkdir(exist_ok=True)
         fd = self.listener.fileno()
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "junipertally.node", stderr=asyncio.subprocess.PIPE, pass_fds=[fd],
+            sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE, pass_fds=[fd],
             env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)})
         STARTED.append(self.process)
         self.lines: list[bytes] = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from junipertally import interface as it
-from junipertally.logic import Gateway
+from rainturn import interface as it
+from rainturn.logic import Gateway
 from tests.helpers import LIMITS, settings
 
 UNRUN = (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.MOOT)
