--- a/rainturn/__init__.py
+++ b/rainturn/__init__.py
@@ -1,1 +1,1 @@
-"""rainturn: the decisions of a front door metering many customers' use of one shared service."""
+"""rainturn: an API gateway that sheds by worth and shares its customers' quotas with its peers."""
--- a/rainturn/benchlink.py
+++ b/rainturn/benchlink.py
@@ -29,9 +29,16 @@
 PEER_DATA = struct.Struct("<IHH")
 ADDED = struct.Struct("<IHQfd")
 
-OUTCOMES = {100: it.Outcome.OK, 301: it.Outcome.ERROR, 302: it.Outcome.FULL, 303: it.Outcome.TIMEOUT,
-            304: it.Outcome.UNREACHABLE, 305: it.Outcome.RESET, 306: it.Outcome.CANCELLED,
-            307: it.Outcome.MOOT}
+OUTCOMES = {
+    100: it.Outcome.OK,
+    301: it.Outcome.ERROR,
+    302: it.Outcome.FULL,
+    303: it.Outcome.TIMEOUT,
+    304: it.Outcome.UNREACHABLE,
+    305: it.Outcome.RESET,
+    306: it.Outcome.CANCELLED,
+    307: it.Outcome.MOOT,
+}
 STATES = {0: it.HostState.DRAINING, 2: it.HostState.READY, 3: it.HostState.GONE}
 KINDS = {0: it.ListKind.DELTA, 1: it.ListKind.FULL, 2: it.ListKind.CACHED, 3: it.ListKind.FAILED}
 
@@ -50,7 +57,8 @@
         raise WireError("VIEW: entries cut short")
     entries = []
     for zone, _, size, host, cell, state, started in ENTRY.iter_unpack(
-            body[VIEW.size:VIEW.size + count * ENTRY.size]):
+        body[VIEW.size : VIEW.size + count * ENTRY.size]
+    ):
         if state not in STATES:
             raise WireError(f"VIEW: unknown lifecycle {state}")
         entries.append(it.HostEntry(host, zone, cell, STATES[state], size, started))
@@ -77,9 +85,17 @@
 
 def _attempt_end(body: memoryview) -> it.AttemptEnded:
     _, request, attempt, host, status, elapsed, final, use, units, count = ATTEMPT_END.unpack_from(body)
-    return it.AttemptEnded(request, attempt, host, _outcome(status), elapsed, bool(final),
-                           (use - 1) / 100.0 if use else None, float(units) if units else None,
-                           _floats(body, ATTEMPT_END.size, count))
+    return it.AttemptEnded(
+        request,
+        attempt,
+        host,
+        _outcome(status),
+        elapsed,
+        bool(final),
+        (use - 1) / 100.0 if use else None,
+        float(units) if units else None,
+        _floats(body, ATTEMPT_END.size, count),
+    )
 
 
 def _withdrawn(body: memoryview) -> it.RequestGone:
@@ -97,7 +113,7 @@
 
 def _peer(body: memoryview) -> it.PeerMessage:
     _, sender, count = PEER_DATA.unpack_from(body)
-    return it.PeerMessage(sender, bytes(body[PEER_DATA.size:PEER_DATA.size + count]))
+    return it.PeerMessage(sender, bytes(body[PEER_DATA.size : PEER_DATA.size + count]))
 
 
 def _added(body: memoryview) -> it.CountAnswered:
@@ -106,8 +122,16 @@
 
 
 READERS: dict[int, Callable[[memoryview], it.Event]] = {
-    1: _view, 2: _request, 3: _first_byte, 4: _attempt_end, 5: _withdrawn, 6: _wakeup, 7: _checked,
-    8: _peer, 10: _added}
+    1: _view,
+    2: _request,
+    3: _first_byte,
+    4: _attempt_end,
+    5: _withdrawn,
+    6: _wakeup,
+    7: _checked,
+    8: _peer,
+    10: _added,
+}
 
 _SEND = struct.Struct("<BIIQId")
 _CANCEL = struct.Struct("<BIIQB")
@@ -136,7 +160,8 @@
     it.Count: lambda g, a: _COUNT.pack(7, 24, g, a.name, a.amount, a.ttl),
     it.WatchList: lambda g, a: _FLAG.pack(8, 5, g, a.on),
     it.FetchList: lambda g, a: _BARE.pack(11, 4, g),
-    it.Note: lambda g, a: _text(10, g, a.text)}
+    it.Note: lambda g, a: _text(10, g, a.text),
+}
 
 
 class Link:
@@ -156,7 +181,7 @@
             at += RECORD.size
             if at + size > len(body) or size < U32.size:
                 raise WireError(f"batch {number}: record {code} cut short")
-            self._record(now, code, body[at:at + size], out)
+            self._record(now, code, body[at : at + size], out)
             at += size
         if at != len(body):
             raise WireError(f"batch {number}: {len(body) - at} bytes after the last record")
@@ -175,7 +200,7 @@
                 _, seed, size = CREATE.unpack_from(body)
                 if CREATE.size + size > len(body):
                     raise WireError("CREATE: settings cut short")
-                settings = read_settings(bytes(body[CREATE.size:CREATE.size + size]))
+                settings = read_settings(bytes(body[CREATE.size : CREATE.size + size]))
                 self.gateways[gateway] = Gateway(settings, seed)
                 return
             event = READERS[code](body)
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -283,8 +283,21 @@
     """This process ends as soon as what is open is answered."""
 
 
-Event = (HostList | Arrived | StreamBegan | AttemptEnded | RequestGone | TimerFired | ProbeEnded
-         | PeerMessage | CountAnswered | InService | Twin | Leaving | BodyWhole)
+Event = (
+    HostList
+    | Arrived
+    | StreamBegan
+    | AttemptEnded
+    | RequestGone
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+    | CountAnswered
+    | InService
+    | Twin
+    | Leaving
+    | BodyWhole
+)
 
 
 class Send(NamedTuple):
--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -90,10 +90,14 @@
             discovery=parse_address(environment.get("EDGE_DISCOVERY") or source["discovery"]),
             counter=parse_address(source["counter"]) if settings.counter else None,
             seed=int(str(source["seed"]), 16),
-            memory_mb=float(limits.get("memory_mb", 192)), sockets=int(limits.get("sockets", 1024)),
+            memory_mb=float(limits.get("memory_mb", 192)),
+            sockets=int(limits.get("sockets", 1024)),
             idle_ms=float(wire_limits.get("conn_idle_ms", 30_000)),
-            max_open=int(wire_limits.get("max_open", 20_000)), known=source.get("known"),
-            settings=settings, names=names)
+            max_open=int(wire_limits.get("max_open", 20_000)),
+            known=source.get("known"),
+            settings=settings,
+            names=names,
+        )
     except KeyError as error:
         raise ValueError(f"{where}: {error.args[0]} is missing") from None
     except (TypeError, AttributeError, ValueError, OverflowError) as error:
@@ -144,15 +148,21 @@
 
 def routes(node: Node, clients: Clients, names: Names) -> dict[bytes, dict[bytes, Route]]:
     """What operators may call."""
+
     def ready() -> Answer:
         if node.ready():
             return HTTPStatus.OK, "ready\n"
         return HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n"
 
     def figures() -> Answer:
-        return HTTPStatus.OK, node.counters.report(names.classes, {
-            "in_progress": node.in_progress(), "known_hosts": node.module.listed(),
-            "skipped_hosts": node.module.skipped()})
+        return HTTPStatus.OK, node.counters.report(
+            names.classes,
+            {
+                "in_progress": node.in_progress(),
+                "known_hosts": node.module.listed(),
+                "skipped_hosts": node.module.skipped(),
+            },
+        )
 
     def in_service(on: bool) -> Answer:
         log.info("control: %s", "in service" if on else "out of service")
@@ -160,9 +170,12 @@
         clients.in_service(on)
         return HTTPStatus.OK, "in service\n" if on else "out of service\n"
 
-    return {b"/control/ready": {b"GET": ready}, b"/control/counters": {b"GET": figures},
-            b"/control/out-of-service": {b"PUT": lambda: in_service(False)},
-            b"/control/in-service": {b"PUT": lambda: in_service(True)}}
+    return {
+        b"/control/ready": {b"GET": ready},
+        b"/control/counters": {b"GET": figures},
+        b"/control/out-of-service": {b"PUT": lambda: in_service(False)},
+        b"/control/in-service": {b"PUT": lambda: in_service(True)},
+    }
 
 
 def assemble(config: Config, descriptors: int, loop: asyncio.AbstractEventLoop) -> Parts:
@@ -178,8 +191,9 @@
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
-    return Parts(node, pools, clients, discovery, counter, Control(loop, routes(node, clients, config.names)),
-                 budget)
+    return Parts(
+        node, pools, clients, discovery, counter, Control(loop, routes(node, clients, config.names)), budget
+    )
 
 
 def reload(path: str, parts: Parts) -> None:
@@ -192,8 +206,11 @@
         config = read_config({"EDGE_CONFIG": path})
     except ValueError as error:
         return log.error("configuration kept as it was: %s", error)
-    log.info("configuration read: discovery at %s:%d, counter at %s:%d", *config.discovery,
-             *(config.counter or ("none", 0)))
+    log.info(
+        "configuration read: discovery at %s:%d, counter at %s:%d",
+        *config.discovery,
+        *(config.counter or ("none", 0)),
+    )
     parts.discovery.move(config.discovery)
     if config.counter is not None:
         parts.counter.move(config.counter)
@@ -203,8 +220,9 @@
     """What the module passes on, its hosts by their names: their numbers differ from process to process."""
     state = parts.node.module.carried()
     pools = parts.pools.pools
-    state["hosts"] = {pools[int(number)].name: values for number, values in state["hosts"].items()
-                      if int(number) in pools}
+    state["hosts"] = {
+        pools[int(number)].name: values for number, values in state["hosts"].items() if int(number) in pools
+    }
     return state
 
 
@@ -234,8 +252,9 @@
 async def serve(config: Config, descriptors: int) -> None:
     """Run until SIGTERM or SIGINT, then answer what is open and return; SIGHUP reads the file again."""
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: log.error(
-        "%s", context.get("message"), exc_info=context.get("exception")))
+    loop.set_exception_handler(
+        lambda _, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
+    )
     parts = assemble(config, descriptors, loop)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -244,8 +263,9 @@
     if listener is None:
         address = parts.clients.listen(config.listen)
     if listener is not None and (folder := os.environ.get("TMPDIR")):
-        handover = Handover(Path(folder), lambda: carried(parts),
-                            lambda held, older: share_room(parts, held, older))
+        handover = Handover(
+            Path(folder), lambda: carried(parts), lambda held, older: share_room(parts, held, older)
+        )
         if (state := await handover.begin()) is not None:
             carry_on(parts, state)
     if config.control is not None:  # not earlier: a successor must not say yes to what it has yet to learn
--- a/rainturn/node/body.py
+++ b/rainturn/node/body.py
@@ -23,8 +23,19 @@
 class Body:
     """Pieces that wait for a sink, or go to it; what has gone is not held any more."""
 
-    __slots__ = ("words", "length", "left", "held", "waiting", "sink", "whole", "over", "spent", "resume",
-                 "taken")
+    __slots__ = (
+        "words",
+        "length",
+        "left",
+        "held",
+        "waiting",
+        "sink",
+        "whole",
+        "over",
+        "spent",
+        "resume",
+        "taken",
+    )
 
     def __init__(self, words: list[bytes], length: int) -> None:
         self.words, self.length, self.left = words, length, length
--- a/rainturn/node/clients.py
+++ b/rainturn/node/clients.py
@@ -110,14 +110,27 @@
         if not 0 < units <= (settings.most_units or units):
             raise Malformed("units are out of range")
         spread, first = float(values[b"spread"]), float(values[b"first"])
-        if not (spread.is_integer() and 1 <= spread <= settings.gateways
-                and first.is_integer() and first < settings.gateways):
+        if not (
+            spread.is_integer()
+            and 1 <= spread <= settings.gateways
+            and first.is_integer()
+            and first < settings.gateways
+        ):
             raise Malformed("no such set of gateways")
         wait = min(float(values[b"d"]), klass.deadline_ms) - MARGIN_MS
         until = self.node.clock.now() + wait
         self.node.serial += 1
-        arrival = it.Arrived(self.node.serial, until, customer, self.plans[values[b"t"]], kind,
-                             units, spread, values.get(b"r") == b"1", body is None)
+        arrival = it.Arrived(
+            self.node.serial,
+            until,
+            customer,
+            self.plans[values[b"t"]],
+            kind,
+            units,
+            spread,
+            values.get(b"r") == b"1",
+            body is None,
+        )
         at = 0 if words[3].startswith(b"d=") else words[3].index(b",d=") + 1
         end = words[3].find(b",", at)
         around = words[3][:at], words[3][end:] if end > 0 else b""
@@ -160,8 +173,11 @@
         self.parsing = True
         data, at, short = self.buffer, 0, False
         try:
-            while at < len(data) and not (self.closing or self.blocked) and (
-                    self.body is not None or len(self.pending) < MAX_PENDING):
+            while (
+                at < len(data)
+                and not (self.closing or self.blocked)
+                and (self.body is not None or len(self.pending) < MAX_PENDING)
+            ):
                 if self.body is not None:
                     at, on = self._take(self.body, data, at)
                     if not on:
@@ -201,11 +217,11 @@
 
     def _take(self, body: Body, data: bytes, at: int) -> tuple[int, bool]:
         """Take what has come of a body; returns how far, and whether the command is whole."""
-        piece = data[at:at + body.left]
+        piece = data[at : at + body.left]
         if piece:
             body.feed(piece)
         at += len(piece)
-        tail = data[at:at + 2]
+        tail = data[at : at + 2]
         if body.left or len(tail) < 2:
             if tail[:1] not in (b"", b"\r"):
                 raise Spoilt("a length does not fit")
@@ -228,9 +244,14 @@
         Guards against a client that never reads filling the memory: all it can leave with us is what
         is open when its answers stop going out.
         """
-        pause = not self.closing and (self.blocked or (
-            not self.body.wants() if self.body is not None and self.body.long
-            else len(self.pending) >= MAX_PENDING))
+        pause = not self.closing and (
+            self.blocked
+            or (
+                not self.body.wants()
+                if self.body is not None and self.body.long
+                else len(self.pending) >= MAX_PENDING
+            )
+        )
         if pause != self.paused and not self.transport.is_closing():
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
@@ -276,8 +297,10 @@
             except Malformed as error:
                 return self._error(str(error))
             self._speaks()
-            if len(clients.node.requests) >= clients.max_open or \
-                    clients.node.held_bytes + request.size > clients.max_held:
+            if (
+                len(clients.node.requests) >= clients.max_open
+                or clients.node.held_bytes + request.size > clients.max_held
+            ):
                 clients.node.counters.ended(request.arrival.request_class, Ending.DROPPED)
                 return self._say(b"-BUSY\r\n")
             clients.idle.pop(self, None)
@@ -499,8 +522,15 @@
         self.lingering: dict[ClientConnection, float] = {}  # were told why they end
         self.unread: dict[ClientConnection, float] = {}  # leave answers unread
         self.uploading: dict[ClientConnection, float] = {}  # owe more of a body, since its last piece
-        self.waits = (self.strangers, self.idle, self.unfinished, self.uploading, self.owed, self.lingering,
-                      self.unread)
+        self.waits = (
+            self.strangers,
+            self.idle,
+            self.unfinished,
+            self.uploading,
+            self.owed,
+            self.lingering,
+            self.unread,
+        )
         self.connections: set[ClientConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
@@ -598,7 +628,8 @@
             (self.idle, IDLE_S, ClientConnection.leave),
             (self.lingering, LINGER_S, ClientConnection.leave),
             (self.uploading, BODY_STALL_S, ClientConnection.cut_short),
-            (self.unread, UNREAD_S, ClientConnection.unread))
+            (self.unread, UNREAD_S, ClientConnection.unread),
+        )
         for waits, limit, end in limits:
             line = self.node.loop.time() - limit
             while waits and waits[connection := next(iter(waits))] <= line:
--- a/rainturn/node/control.py
+++ b/rainturn/node/control.py
@@ -71,8 +71,9 @@
         route = routes.get(self.parser.get_method())
         if route is None:
             allowed = b", ".join(routes).decode()
-            return self._answer(http.HTTPStatus.METHOD_NOT_ALLOWED, f"use {allowed}\n",
-                                f"Allow: {allowed}\r\n")
+            return self._answer(
+                http.HTTPStatus.METHOD_NOT_ALLOWED, f"use {allowed}\n", f"Allow: {allowed}\r\n"
+            )
         try:
             status, text = route()
         except Exception:
@@ -83,9 +84,12 @@
     def _answer(self, status: http.HTTPStatus, text: str, extra: str = "") -> None:
         """Answer and end the sending; the caller closes, so that no reset overtakes the answer."""
         self.answered = True
-        self.transport.write((
-            f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: text/plain\r\n{extra}"
-            f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n{text}").encode())
+        self.transport.write(
+            (
+                f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: text/plain\r\n{extra}"
+                f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n{text}"
+            ).encode()
+        )
         self.transport.write_eof()
         self.timer.cancel()
         self.timer = self.control.loop.call_later(LINGER_S, self.transport.abort)
--- a/rainturn/node/counter.py
+++ b/rainturn/node/counter.py
@@ -149,7 +149,8 @@
                     address = self.address
                     async with asyncio.timeout(self.node.settings.limits.connect_timeout_ms / 1000):
                         _, connection = await loop.create_connection(
-                            lambda: CounterConnection(self), *address)
+                            lambda: CounterConnection(self), *address
+                        )
                 except OSError:  # a time-out is one
                     connection = None
                 if address != self.address:  # it moved while the connect was under way
--- a/rainturn/node/counters.py
+++ b/rainturn/node/counters.py
@@ -28,8 +28,11 @@
 
     def report(self, classes: tuple[str, ...], gauges: dict[str, int]) -> str:
         """All figures as statsd lines, zeros too."""
-        lines = [f"{PREFIX}.handled.{name}.{ending.name.lower()}:{counts[ending]}|c"
-                 for name, counts in zip(classes, self.handled, strict=True) for ending in Ending]
+        lines = [
+            f"{PREFIX}.handled.{name}.{ending.name.lower()}:{counts[ending]}|c"
+            for name, counts in zip(classes, self.handled, strict=True)
+            for ending in Ending
+        ]
         lines.append(f"{PREFIX}.upstream_tries:{self.upstream_tries}|c")
         lines += [f"{PREFIX}.{name}:{value}|g" for name, value in gauges.items()]
         return "\n".join(lines) + "\n"
--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -37,8 +37,11 @@
 # be old, and a host that drained or went meanwhile may get nothing new after 1 s
 OLDER_MS = 6000.0  # discovery's word is late by this at most: older lists for longer are numbered anew
 MAX_BODY = 4 << 20
-STATES = {"in_service": it.HostState.READY, "terminating": it.HostState.DRAINING,
-          "terminated": it.HostState.GONE}
+STATES = {
+    "in_service": it.HostState.READY,
+    "terminating": it.HostState.DRAINING,
+    "terminated": it.HostState.GONE,
+}
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -72,8 +75,9 @@
 class Discovery:
     """One task that keeps a watch open and hands on what it tells."""
 
-    def __init__(self, node: Node, pools: HostPools, zones: tuple[str, ...],
-                 address: tuple[str, int], seed: int) -> None:
+    def __init__(
+        self, node: Node, pools: HostPools, zones: tuple[str, ...], address: tuple[str, int], seed: int
+    ) -> None:
         self.node, self.pools, self.address = node, pools, address
         self.zones = {name: n for n, name in enumerate(zones)}
         self.numbers: dict[str, int] = {}  # host name -> the module's number, never given twice
@@ -117,8 +121,11 @@
 
     def apply(self, news: Any, cached: bool = False) -> None:
         """Hand a list or changes to the pools and the module; what is older than ours changes nothing."""
-        if not isinstance(news, dict) or not isinstance(news.get("hosts"), list) \
-                or not isinstance(news.get("seq"), int):
+        if (
+            not isinstance(news, dict)
+            or not isinstance(news.get("hosts"), list)
+            or not isinstance(news.get("seq"), int)
+        ):
             raise ValueError("not a host list")
         seq, whole = news["seq"], news.get("whole") is True
         if self.seq is not None and seq < self.seq:
@@ -189,8 +196,9 @@
                     news = await self._get("/discovery/hosts", self.patience_ms)
                 else:
                     wait = WAIT_MS if answered or not (failures or self.pushed) else 1
-                    news = await self._get(f"/discovery/hosts?index={self.seq}&wait={wait}",
-                                           wait + self.patience_ms)
+                    news = await self._get(
+                        f"/discovery/hosts?index={self.seq}&wait={wait}", wait + self.patience_ms
+                    )
                 self.apply(news)
                 if failures:
                     log.info("discovery: back at version %s", self.seq)
@@ -213,8 +221,10 @@
     async def _get(self, path: str, patience_ms: float) -> Any:
         async with asyncio.timeout(patience_ms / 1000):
             reader, self.writer = await asyncio.open_connection(*self.address)
-            self.writer.write(b"GET %s HTTP/1.1\r\nHost: %s:%d\r\nAccept: application/json\r\n\r\n" % (
-                path.encode(), self.address[0].encode(), self.address[1]))
+            self.writer.write(
+                b"GET %s HTTP/1.1\r\nHost: %s:%d\r\nAccept: application/json\r\n\r\n"
+                % (path.encode(), self.address[0].encode(), self.address[1])
+            )
             response = _Response()
             parser = httptools.HttpResponseParser(response)
             while not response.done:
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -73,11 +73,37 @@
 class Request:
     """One request of a client, until its last attempt has ended."""
 
-    __slots__ = ("number", "arrival", "until", "words", "list_at", "client", "reply", "attempts", "out",
-                 "done", "timer", "maybe_ran", "size", "body", "parts", "source", "wait")
-
-    def __init__(self, arrival: it.Arrived, until: float, words: list[bytes], list_at: tuple[bytes, bytes],
-                 client: Answerer, size: int, wait: float = math.inf, body: Body | None = None) -> None:
+    __slots__ = (
+        "number",
+        "arrival",
+        "until",
+        "words",
+        "list_at",
+        "client",
+        "reply",
+        "attempts",
+        "out",
+        "done",
+        "timer",
+        "maybe_ran",
+        "size",
+        "body",
+        "parts",
+        "source",
+        "wait",
+    )
+
+    def __init__(
+        self,
+        arrival: it.Arrived,
+        until: float,
+        words: list[bytes],
+        list_at: tuple[bytes, bytes],
+        client: Answerer,
+        size: int,
+        wait: float = math.inf,
+        body: Body | None = None,
+    ) -> None:
         self.wait = wait  # how long its answer may take from its last byte
         self.number, self.arrival = arrival.request, arrival
         self.until = until  # when its answer must have been written; with a body: from when that is whole
@@ -106,8 +132,9 @@
 
     __slots__ = ("request", "number", "host", "sent", "until", "begin_by", "connection", "timer")
 
-    def __init__(self, request: Request, number: int, host: int, sent: float, until: float,
-                 begin_by: float = math.inf) -> None:
+    def __init__(
+        self, request: Request, number: int, host: int, sent: float, until: float, begin_by: float = math.inf
+    ) -> None:
         self.request, self.number, self.host, self.sent, self.until = request, number, host, sent, until
         self.begin_by = begin_by  # a repeat that waited beyond this for its connection is no repeat any more
         self.connection: object | None = None  # once its bytes were handed to one
@@ -134,8 +161,9 @@
 class Node:
     """Hands the module its events in order and carries its actions out."""
 
-    def __init__(self, settings: it.Settings, seed: int, clock: Clock,
-                 loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, settings: it.Settings, seed: int, clock: Clock, loop: asyncio.AbstractEventLoop
+    ) -> None:
         self.settings, self.clock, self.loop = settings, clock, loop
         self.module = Gateway(settings, seed)
         self.counters = Counters(len(settings.classes))
@@ -147,10 +175,15 @@
         self._events: deque[it.Event] = deque()
         self._handling = False
         self._perform: dict[type, Callable[..., None]] = {
-            it.Send: self._send, it.Cancel: self._cancel, it.Refuse: self._refuse, it.Fail: self._fail,
-            it.Count: lambda a, now: self.counter.call(a.name, a.amount, a.ttl), it.SetTimer: self._set_timer,
+            it.Send: self._send,
+            it.Cancel: self._cancel,
+            it.Refuse: self._refuse,
+            it.Fail: self._fail,
+            it.Count: lambda a, now: self.counter.call(a.name, a.amount, a.ttl),
+            it.SetTimer: self._set_timer,
             it.WatchList: lambda a, now: None,  # discovery is watched in any case
-            it.Note: lambda a, now: log.info("module: %s", a.text)}
+            it.Note: lambda a, now: log.info("module: %s", a.text),
+        }
 
     def ready(self) -> bool:
         """Whether clients should come, as the module says."""
@@ -371,8 +404,11 @@
             request.client.served(request, value)
         elapsed = max(0.0, self.clock.now() - attempt.sent)
         spent = request.body is not None and request.body.spent
-        self.feed(it.AttemptEnded(request.number, attempt.number, attempt.host, outcome, elapsed,
-                                  request.done, spent=spent))
+        self.feed(
+            it.AttemptEnded(
+                request.number, attempt.number, attempt.host, outcome, elapsed, request.done, spent=spent
+            )
+        )
 
     # Timers.
 
--- a/rainturn/node/handover.py
+++ b/rainturn/node/handover.py
@@ -50,8 +50,9 @@
     whether ours is the older.
     """
 
-    def __init__(self, folder: Path, state: Callable[[], dict[str, Any]],
-                 twin: Callable[[int | None, bool], None]) -> None:
+    def __init__(
+        self, folder: Path, state: Callable[[], dict[str, Any]], twin: Callable[[int | None, bool], None]
+    ) -> None:
         self.folder, self.state, self.twin = folder, state, twin
         self.name = f"{os.getpid()}-{time.time_ns()}"
         self.predecessor: str | None = None  # while it lives
@@ -96,8 +97,12 @@
 
     def _watch_predecessor(self) -> None:
         found = self._read(STATE)
-        if found is not None and found.get("by") == self.predecessor and not found.get("over") \
-                and self._fresh(found):
+        if (
+            found is not None
+            and found.get("by") == self.predecessor
+            and not found.get("over")
+            and self._fresh(found)
+        ):
             self._write(NOTE, {})
             return self._tell(found)
         log.info("handover: %s has ended", self.predecessor)
--- a/rainturn/node/hosts.py
+++ b/rainturn/node/hosts.py
@@ -141,10 +141,10 @@
             # Only this very word says that nothing ran; one like BUSYKEY does not.
             never = reply.error.split(b" ", 1)[0] == b"BUSY"
             outcome, value = it.Outcome.FULL if never else it.Outcome.ERROR, b""
-        self._answered(attempt, outcome, value, reply.fields, self.buffer[reply.end:])
+        self._answered(attempt, outcome, value, reply.fields, self.buffer[reply.end :])
 
     def _value_begins(self, attempt: Attempt, value: LongValue) -> None:
-        data, self.buffer = self.buffer[value.start:], b""
+        data, self.buffer = self.buffer[value.start :], b""
         self.left, self.expected = value.length, value.fields
         if not self.pool.hosts.node.value_began(attempt, value.length, self):
             return self.close(it.Outcome.CANCELLED)  # nobody waits for it any more
@@ -161,13 +161,13 @@
         request = attempt.request
         if request.done:
             return self.close(it.Outcome.CANCELLED)
-        piece = data[:self.left]
+        piece = data[: self.left]
         self.left -= len(piece)
         if piece:
             request.client.piece(request, piece)
         if not self.left:
-            self.buffer += data[len(piece):]
-            if self.buffer[:2] != b"\r\n"[:len(self.buffer)]:
+            self.buffer += data[len(piece) :]
+            if self.buffer[:2] != b"\r\n"[: len(self.buffer)]:
                 return self.spoilt()
             if len(self.buffer) >= 2:
                 self.left = None
@@ -331,7 +331,8 @@
         try:
             async with asyncio.timeout(node.settings.limits.connect_timeout_ms / 1000):
                 _, connection = await node.loop.create_connection(
-                    lambda: HostConnection(self, address), *address)
+                    lambda: HostConnection(self, address), *address
+                )
         except OSError:  # a time-out is one
             pass
         finally:
--- a/rainturn/node/resp.py
+++ b/rainturn/node/resp.py
@@ -94,8 +94,8 @@
     end = start + int(head[1])
     if end - start > WHOLE:
         raise Spoilt("value too long")
-    tail = data[end:end + 2]
-    if tail != b"\r\n"[:len(tail)]:
+    tail = data[end : end + 2]
+    if tail != b"\r\n"[: len(tail)]:
         raise Spoilt("a length does not fit")
     return (start, end) if len(tail) == 2 else None
 
@@ -131,7 +131,7 @@
         place = _bulk(data, at)
         if place is None:
             return None
-        words.append(data[place[0]:place[1]])
+        words.append(data[place[0] : place[1]])
         at = place[1] + 2
     return Command(words, at, None)
 
@@ -202,7 +202,7 @@
         return None
     if not _NUMBER.fullmatch(data, *place):
         raise Spoilt("not a number")
-    return Total(float(data[place[0]:place[1]]), place[1] + 2)
+    return Total(float(data[place[0] : place[1]]), place[1] + 2)
 
 
 def unsent(transport: asyncio.Transport) -> int:
--- a/rainturn/settings.py
+++ b/rainturn/settings.py
@@ -10,12 +10,22 @@
 EFFECTS = {"retryable": it.Effect.SAFE, "dedup": it.Effect.KEYED, "fragile": it.Effect.UNSAFE}
 GROUPS = {"all": it.Group.ALL, "zone": it.Group.ZONE, "cell": it.Group.CELL}
 CLASS_KEYS = {"target_ms": "aim_ms", "hard_limit_ms": "deadline_ms", "credit": "worth"}
-PLAN_KEYS = {"per_second": "rate", "peak_units": "burst", "never_over_rate": "ceiling_rate",
-             "cap_slack": "ceiling_slack", "extra_worth": "over_worth", "excess_cost": "over_cost"}
+PLAN_KEYS = {
+    "per_second": "rate",
+    "peak_units": "burst",
+    "never_over_rate": "ceiling_rate",
+    "cap_slack": "ceiling_slack",
+    "extra_worth": "over_worth",
+    "excess_cost": "over_cost",
+}
 RULE_KEYS = {"grace_to_answer_ms": "answer_grace_ms", "cold_from": "cold_share", "warm_within_ms": "warm_ms"}
 LIMIT_KEYS = {"retry_after": "honours_backoff", "max_retry_after_ms": "max_backoff_ms"}
-FAMILY_KEYS = {"may_count": "counter", "metering_ms": "meter_ms", "cost_after": "settles_later",
-               "units_top": "most_units"}
+FAMILY_KEYS = {
+    "may_count": "counter",
+    "metering_ms": "meter_ms",
+    "cost_after": "settles_later",
+    "units_top": "most_units",
+}
 TOP_KEYS = {"me": "gateway", "balancers": "gateways", "my_zone": "zone"}
 
 
@@ -59,8 +69,9 @@
     """Turn the wire's settings object into the interface's settings."""
     values = _renamed(source, TOP_KEYS, "settings")
     values["classes"] = tuple(_request_class(entry) for entry in _items(source, "classes"))
-    values["plans"] = tuple(it.build(it.Plan, _renamed(entry, PLAN_KEYS, "plans[]"))
-                            for entry in source.get("plans") or [])
+    values["plans"] = tuple(
+        it.build(it.Plan, _renamed(entry, PLAN_KEYS, "plans[]")) for entry in source.get("plans") or []
+    )
     values["rules"] = it.build(it.Rules, _renamed(source.get("rules"), RULE_KEYS, "rules"))
     values["limits"] = it.build(it.Limits, _renamed(source.get("limits"), LIMIT_KEYS, "limits"))
     values.update(_renamed(source.get("family_info") or {}, FAMILY_KEYS, "family_info"))
@@ -89,6 +100,8 @@
 
 def names_from(source: Any) -> Names:
     """Read the names of classes, plans and zones from settings that `settings_from` has taken."""
-    return Names(_names(_items(source, "classes"), "classes[].name"),
-                 _names(source.get("plans") or [], "plans[].name"),
-                 _names(_items(source, "localities"), "localities[]"))
+    return Names(
+        _names(_items(source, "classes"), "classes[].name"),
+        _names(source.get("plans") or [], "plans[].name"),
+        _names(_items(source, "localities"), "localities[]"),
+    )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,21 +12,31 @@
 KEYED = replace(SAFE, effect=it.Effect.KEYED, group=it.Group.ZONE, window_ms=12_000, worth=5, late_worth=0.2)
 UNSAFE = replace(SAFE, effect=it.Effect.UNSAFE, worth=2, late_worth=0.2)
 PLAN = it.Plan(price=1, rate=2, burst=8)
-RULES = it.Rules(answer_grace_ms=16, drain_grace_ms=500, fall_multiple=3, fall_ms=1000, cold_share=0.2,
-                 warm_ms=10_000)
+RULES = it.Rules(
+    answer_grace_ms=16, drain_grace_ms=500, fall_multiple=3, fall_ms=1000, cold_share=0.2, warm_ms=10_000
+)
 LIMITS = it.Limits(max_attempts=6, may_cancel=True, may_duplicate=True)
 
 
 def settings(**change: Any) -> it.Settings:
     base: dict[str, Any] = {
-        "gateway": 0, "gateways": 2, "zone": 0, "tick_ms": 4, "classes": (SAFE, KEYED, UNSAFE),
-        "plans": (PLAN,), "rules": RULES, "limits": LIMITS, "counter": True}
+        "gateway": 0,
+        "gateways": 2,
+        "zone": 0,
+        "tick_ms": 4,
+        "classes": (SAFE, KEYED, UNSAFE),
+        "plans": (PLAN,),
+        "rules": RULES,
+        "limits": LIMITS,
+        "counter": True,
+    }
     return it.Settings(**(base | change))
 
 
 def hosts(count: int, started: float = 0.0, state: it.HostState = it.HostState.READY) -> it.HostList:
-    return it.HostList(it.ListKind.CACHED,
-                       tuple(it.HostEntry(n + 1, n % 2, 0, state, 1.0, started) for n in range(count)))
+    return it.HostList(
+        it.ListKind.CACHED, tuple(it.HostEntry(n + 1, n % 2, 0, state, 1.0, started) for n in range(count))
+    )
 
 
 class Drive:
@@ -43,16 +53,19 @@
         self.done += actions
         return actions
 
-    def arrive(self, kind: int = 0, customer: int = 1, plan: int = 0, spread: float = 2.0,
-               patience: float = 5000.0) -> tuple[int, list[it.Action]]:
+    def arrive(
+        self, kind: int = 0, customer: int = 1, plan: int = 0, spread: float = 2.0, patience: float = 5000.0
+    ) -> tuple[int, list[it.Action]]:
         self.serial += 1
         event = it.Arrived(self.serial, self.now + patience, customer, plan, kind, 1.0, spread)
         return self.serial, self.feed(event)
 
-    def end(self, send: it.Send, outcome: it.Outcome, attempt: int = 0,
-            elapsed: float = 100.0) -> list[it.Action]:
-        return self.feed(it.AttemptEnded(send.request, attempt, send.host, outcome, elapsed,
-                                         outcome is it.Outcome.OK))
+    def end(
+        self, send: it.Send, outcome: it.Outcome, attempt: int = 0, elapsed: float = 100.0
+    ) -> list[it.Action]:
+        return self.feed(
+            it.AttemptEnded(send.request, attempt, send.host, outcome, elapsed, outcome is it.Outcome.OK)
+        )
 
     def count(self, call: it.Count, total: float, outcome: it.Outcome = it.Outcome.OK) -> list[it.Action]:
         return self.feed(it.CountAnswered(call.name, outcome, total, 2.0))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -20,20 +20,54 @@
 LONG = 10.0  # no test waits for this: it only ends one that hangs
 
 WIRE: dict[str, Any] = {
-    "me": 0, "balancers": 1, "my_zone": 0, "tick_ms": 4.0, "discovery": "push",
+    "me": 0,
+    "balancers": 1,
+    "my_zone": 0,
+    "tick_ms": 4.0,
+    "discovery": "push",
     "localities": ["east", "west"],
     "classes": [
         {"name": "read", "effect": "retryable", "target_ms": 1500, "hard_limit_ms": 6000, "credit": 1},
-        {"name": "send", "effect": "dedup", "group": "zone", "target_ms": 1500, "hard_limit_ms": 6000,
-         "credit": 5, "window_ms": 12000},
-        {"name": "pay", "effect": "fragile", "target_ms": 1500, "hard_limit_ms": 6000, "credit": 2}],
-    "plans": [{"name": "basic", "price": 1, "per_second": 1000, "peak_units": 1000, "parallel": 0,
-               "never_over_rate": 0}],
-    "rules": {"grace_to_answer_ms": 16, "drain_grace_ms": 2000, "fall_multiple": 3, "fall_ms": 1000,
-              "cold_from": 0.2, "warm_within_ms": 10000},
-    "limits": {"max_attempts": 6, "may_cancel": True, "may_duplicate": True, "connect_timeout_ms": 250,
-               "conn_idle_ms": 30000, "max_open": 1000},
-    "family_info": {"may_count": True, "counter_timeout_ms": 50, "units_top": 2}, "weight_kind": "rough"}
+        {
+            "name": "send",
+            "effect": "dedup",
+            "group": "zone",
+            "target_ms": 1500,
+            "hard_limit_ms": 6000,
+            "credit": 5,
+            "window_ms": 12000,
+        },
+        {"name": "pay", "effect": "fragile", "target_ms": 1500, "hard_limit_ms": 6000, "credit": 2},
+    ],
+    "plans": [
+        {
+            "name": "basic",
+            "price": 1,
+            "per_second": 1000,
+            "peak_units": 1000,
+            "parallel": 0,
+            "never_over_rate": 0,
+        }
+    ],
+    "rules": {
+        "grace_to_answer_ms": 16,
+        "drain_grace_ms": 2000,
+        "fall_multiple": 3,
+        "fall_ms": 1000,
+        "cold_from": 0.2,
+        "warm_within_ms": 10000,
+    },
+    "limits": {
+        "max_attempts": 6,
+        "may_cancel": True,
+        "may_duplicate": True,
+        "connect_timeout_ms": 250,
+        "conn_idle_ms": 30000,
+        "max_open": 1000,
+    },
+    "family_info": {"may_count": True, "counter_timeout_ms": 50, "units_top": 2},
+    "weight_kind": "rough",
+}
 
 Handler = Callable[[list[bytes]], "Awaitable[bytes | None] | bytes | None"]
 
@@ -143,8 +177,14 @@
     def send(self, *words: bytes) -> None:
         self.writer.write(pack(words))
 
-    def ask(self, ident: bytes, kind: bytes = b"read", wait: int = 5000, extra: bytes = b"",
-            body: bytes | None = None) -> None:
+    def ask(
+        self,
+        ident: bytes,
+        kind: bytes = b"read",
+        wait: int = 5000,
+        extra: bytes = b"",
+        body: bytes | None = None,
+    ) -> None:
         verb = b"API.READ" if kind == b"read" else b"API.WRITE"
         fields = b"c=%s,t=basic,d=%d,%sunits=1,spread=1,first=0" % (kind, wait, extra)
         self.send(verb, b"00000000b4d65521", ident, fields, *([] if body is None else [body]))
@@ -159,10 +199,19 @@
         return f"-{reply}" if isinstance(reply, hiredis.ReplyError) else reply
 
 
-def entry(host: str, dial: str, site: str = "east", health: str = "in_service",
-          born_ms: float = 0) -> dict[str, Any]:
-    return {"host": host, "dial": dial, "site": site, "class": "m", "block": 0, "health": health,
-            "share": 1.0, "born_ms": born_ms}
+def entry(
+    host: str, dial: str, site: str = "east", health: str = "in_service", born_ms: float = 0
+) -> dict[str, Any]:
+    return {
+        "host": host,
+        "dial": dial,
+        "site": site,
+        "class": "m",
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": born_ms,
+    }
 
 
 def served(value: bytes = b"value") -> bytes:
@@ -211,8 +260,14 @@
 class World:
     """A gateway with hosts that answer by their handlers; `known` is all that it hears of them."""
 
-    def __init__(self, *hosts: Handler, counter: Handler | None = None, sites: tuple[str, ...] = (),
-                 descriptors: int = 200, wire: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        *hosts: Handler,
+        counter: Handler | None = None,
+        sites: tuple[str, ...] = (),
+        descriptors: int = 200,
+        wire: dict[str, Any] | None = None,
+    ) -> None:
         self.handlers, self.sites, self.descriptors = hosts, sites, descriptors
         self.counter = Peer(counter or Totals())
         self.wire = WIRE | (wire or {})
@@ -224,11 +279,24 @@
         await self.counter.start()
         self.hosts = [await Peer(handler).start() for handler in self.handlers]
         sites = self.sites or ("east",) * len(self.hosts)
-        known = {"seq": 1, "whole": True,
-                 "hosts": [entry(f"h{n}", h.dial, sites[n]) for n, h in enumerate(self.hosts)]}
-        config = parse_config({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                               "counter": self.counter.dial, "seed": "2a", "settings": self.wire,
-                               "known": known}, {}, "config")
+        known = {
+            "seq": 1,
+            "whole": True,
+            "hosts": [entry(f"h{n}", h.dial, sites[n]) for n, h in enumerate(self.hosts)],
+        }
+        config = parse_config(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "counter": self.counter.dial,
+                "seed": "2a",
+                "settings": self.wire,
+                "known": known,
+            },
+            {},
+            "config",
+        )
         self.parts = assemble(config, self.descriptors, asyncio.get_running_loop())
         self.address = self.parts.clients.listen(config.listen)
         self.operators = self.parts.control.listen(("127.0.0.1", 0))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -16,15 +16,38 @@
 from rainturn import interface as it
 
 SETTINGS: dict[str, Any] = {
-    "me": 1, "balancers": 2, "my_zone": 0, "tick_ms": 4.0, "discovery": "push", "made_up_key": 3,
-    "classes": [{"effect": "dedup", "group": "zone", "target_ms": 1500, "hard_limit_ms": 6000, "credit": 5,
-                 "late_worth": 0.2, "window_ms": 12000, "name": "x"}],
+    "me": 1,
+    "balancers": 2,
+    "my_zone": 0,
+    "tick_ms": 4.0,
+    "discovery": "push",
+    "made_up_key": 3,
+    "classes": [
+        {
+            "effect": "dedup",
+            "group": "zone",
+            "target_ms": 1500,
+            "hard_limit_ms": 6000,
+            "credit": 5,
+            "late_worth": 0.2,
+            "window_ms": 12000,
+            "name": "x",
+        }
+    ],
     "plans": [{"price": 1, "per_second": 2, "peak_units": 8, "parallel": 0, "never_over_rate": 0}],
-    "rules": {"grace_to_answer_ms": 16, "drain_grace_ms": 500, "fall_multiple": 3, "fall_ms": 1000,
-              "cold_from": 0.2, "warm_within_ms": 10000},
+    "rules": {
+        "grace_to_answer_ms": 16,
+        "drain_grace_ms": 500,
+        "fall_multiple": 3,
+        "fall_ms": 1000,
+        "cold_from": 0.2,
+        "warm_within_ms": 10000,
+    },
     "limits": {"max_attempts": 6, "may_cancel": True, "may_duplicate": True},
     "family_info": {"may_count": True, "counter_timeout_ms": 50},
-    "stats": {"names": ["concurrent"], "source": "piggyback"}, "weight_kind": "rough"}
+    "stats": {"names": ["concurrent"], "source": "piggyback"},
+    "weight_kind": "rough",
+}
 
 
 def record(code: int, body: bytes) -> bytes:
@@ -51,8 +74,13 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "rainturn.benchlink"], input=data, capture_output=True,
-                          timeout=30, env=dict(os.environ))
+    return subprocess.run(
+        [sys.executable, "-m", "rainturn.benchlink"],
+        input=data,
+        capture_output=True,
+        timeout=30,
+        env=dict(os.environ),
+    )
 
 
 def actions(reply: bytes) -> list[tuple[int, bytes]]:
@@ -61,7 +89,7 @@
     out, at = [], 12
     for _ in range(count):
         code, length = struct.unpack_from("<BI", reply, at)
-        out.append((code, reply[at + 5:at + 5 + length]))
+        out.append((code, reply[at + 5 : at + 5 + length]))
         at += 5 + length
     assert at == len(reply)
     return out
@@ -74,11 +102,18 @@
     assert config.plans[0].rate == 2 and config.rules.cold_share == 0.2
 
 
-@pytest.mark.parametrize(("path", "value", "named"), [
-    (("tick_ms",), "soon", "tick_ms"), (("rules", "fall_ms"), -1, "fall_ms"),
-    (("balancers",), None, "gateways"),
-    (("limits", "max_attempts"), 1.5, "max_attempts"), (("classes",), 4, "classes"),
-    (("rules",), None, "rules"), (("limits", "may_cancel"), 1, "may_cancel")])
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("tick_ms",), "soon", "tick_ms"),
+        (("rules", "fall_ms"), -1, "fall_ms"),
+        (("balancers",), None, "gateways"),
+        (("limits", "max_attempts"), 1.5, "max_attempts"),
+        (("classes",), 4, "classes"),
+        (("rules",), None, "rules"),
+        (("limits", "may_cancel"), 1, "may_cancel"),
+    ],
+)
 def test_a_wrong_setting_is_named(path: tuple[str, ...], value: object, named: str) -> None:
     config = json.loads(json.dumps(SETTINGS))
     inner = config
@@ -122,11 +157,19 @@
     assert got[0][0] == 12 and b"not JSON" in got[0][1]
 
 
-@pytest.mark.parametrize("data", [
-    b"\x01\x02", batch(1, 0.0, record(99, b"\0\0\0\0")), batch(1, 0.0, record(2, b"\0\0\0\0\0")),
-    struct.pack("<IdII", 1, 0.0, 1, 0), struct.pack("<IdII", 1, 0.0, 1 << 31, 0),
-    struct.pack("<IdII", 1, 0.0, 4, 3), batch(1, 0.0) + b"\0",
-    struct.pack("<IdII", 1, 0.0, 40, 1) + b"\0" * 9])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x01\x02",
+        batch(1, 0.0, record(99, b"\0\0\0\0")),
+        batch(1, 0.0, record(2, b"\0\0\0\0\0")),
+        struct.pack("<IdII", 1, 0.0, 1, 0),
+        struct.pack("<IdII", 1, 0.0, 1 << 31, 0),
+        struct.pack("<IdII", 1, 0.0, 4, 3),
+        batch(1, 0.0) + b"\0",
+        struct.pack("<IdII", 1, 0.0, 40, 1) + b"\0" * 9,
+    ],
+)
 def test_malformed_input_ends_with_one_line_and_a_failure(data: bytes) -> None:
     done = run(data)
     assert done.returncode == 2
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -238,8 +238,9 @@
             totals[call.name] += call.amount
             answers.append((drive, call, totals[call.name]))
             told += [call.amount] * bool(call.amount)
-        calls = [(drive, more) for drive, call, then in answers
-                 for more in of(drive.count(call, then), it.Count)]
+        calls = [
+            (drive, more) for drive, call, then in answers for more in of(drive.count(call, then), it.Count)
+        ]
     assert told == [1.0, 1.0, 6.0, 6.0, -6.0]
 
 
@@ -250,11 +251,22 @@
     assert of(drive.count(read, 0.0, it.Outcome.TIMEOUT), it.Send) and drive.gate.customers[1].call is None
 
 
-@pytest.mark.parametrize(("gateways", "times", "loses"), [
-    (3, 0.5, False), (40, 0.5, False), (200, 0.5, False), (3, 3.0, False), (40, 3.0, False),
-    (200, 3.0, False), (3, 3.0, True), (40, 3.0, True)])
+@pytest.mark.parametrize(
+    ("gateways", "times", "loses"),
+    [
+        (3, 0.5, False),
+        (40, 0.5, False),
+        (200, 0.5, False),
+        (3, 3.0, False),
+        (40, 3.0, False),
+        (200, 3.0, False),
+        (3, 3.0, True),
+        (40, 3.0, True),
+    ],
+)
 def test_over_many_windows_a_fleet_lets_in_what_the_store_holds_and_makes_few_calls(
-        gateways: int, times: float, loses: bool) -> None:
+    gateways: int, times: float, loses: bool
+) -> None:
     """calm+mass: in each new window most gateways took the store for full: its debt was not carried over.
 
     And as they did when the counter had lost its counts, in the middle of a window.
@@ -318,7 +330,7 @@
         drive.count(of(drive.done, it.Count)[-1], total)
         drive.gate.customers[1].share = 0.1
         drive.now += 3000.0
-        call, = of(drive.arrive(0, spread=WIDE)[1], it.Count)
+        (call,) = of(drive.arrive(0, spread=WIDE)[1], it.Count)
         assert call.amount == 0.0
         reads.append((drive, call))
     room = PLAN.burst + PLAN.rate * 6.0 - total
@@ -336,8 +348,11 @@
     """calm+mass of fjord-billett: the counter lost its counts, and all customers got their burst again."""
     start, totals = begins(8) + 3000.0, dict[int, float]()
     drives = [Drive(settings(gateways=gateways, gateway=n), now=start) for n in range(gateways)]
-    ages = {key: who.age(start, who.window_at(start)) for key in range(1, 100)
-            for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]}
+    ages = {
+        key: who.age(start, who.window_at(start))
+        for key in range(1, 100)
+        for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]
+    }
     short = [key for key, age in ages.items() if 2000.0 < age < 6000.0][:8]  # their windows go on for long
 
     def settle(drive: Drive, actions: list[it.Action]) -> None:
@@ -369,8 +384,11 @@
 def test_after_a_loss_a_customer_whom_nobody_here_knows_is_taken_to_have_half_a_store(fallen: bool) -> None:
     """It may have been full or empty; told, all gateways see the same. Empty counts alone prove no loss."""
     start = begins(8) + 6000.0
-    ages = {key: who.age(start, who.window_at(start)) for key in range(2, 100)
-            for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]}
+    ages = {
+        key: who.age(start, who.window_at(start))
+        for key in range(2, 100)
+        for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]
+    }
     others = [key for key, age in ages.items() if 4000.0 < age < 8000.0]
     drive = Drive(settings(), now=start)
     call = of(drive.arrive(0, spread=WIDE)[1], it.Count)[0]
@@ -439,8 +457,9 @@
             totals[call.name] = totals.get(call.name, 0.0) + call.amount
             answers.append((drive, call, totals[call.name]))
             told += [round(call.amount, 1)] * bool(call.amount)
-        calls = [(drive, more) for drive, call, then in answers
-                 for more in of(drive.count(call, then), it.Count)]
+        calls = [
+            (drive, more) for drive, call, then in answers for more in of(drive.count(call, then), it.Count)
+        ]
     full = PLAN.rate * 10.0
     assert told == [1.0, 1.0, full - 1.0, full, -full]
     assert abs(max(totals.values()) - full - 2.0) < 1.1
@@ -635,16 +654,25 @@
 
 def test_unknown_things_are_harmless() -> None:
     drive = Drive(settings())
-    for event in (it.AttemptEnded(99, 0, 1, it.Outcome.OK, 5.0, True),
-                  it.AttemptEnded(9, 3, 55, it.Outcome.RESET, 5.0, False),
-                  it.RequestGone(99), it.StreamBegan(99, 0), it.CountAnswered(5, it.Outcome.OK, 4.0, 1.0),
-                  it.TimerFired(77), it.ProbeEnded(9, it.Outcome.OK, 1.0), it.PeerMessage(3, b"x")):
+    for event in (
+        it.AttemptEnded(99, 0, 1, it.Outcome.OK, 5.0, True),
+        it.AttemptEnded(9, 3, 55, it.Outcome.RESET, 5.0, False),
+        it.RequestGone(99),
+        it.StreamBegan(99, 0),
+        it.CountAnswered(5, it.Outcome.OK, 4.0, 1.0),
+        it.TimerFired(77),
+        it.ProbeEnded(9, it.Outcome.OK, 1.0),
+        it.PeerMessage(3, b"x"),
+    ):
         assert not of(drive.feed(event), it.Send)
 
 
 def test_no_host_no_plan_and_no_quota_lose_no_request() -> None:
-    for drive, plan in ((Drive(settings(), fleet=0), 0), (Drive(settings(), fleet=0), 9),
-                        (Drive(settings(plans=(replace(PLAN, rate=0, burst=0),)), fleet=0), 0)):
+    for drive, plan in (
+        (Drive(settings(), fleet=0), 0),
+        (Drive(settings(), fleet=0), 9),
+        (Drive(settings(plans=(replace(PLAN, rate=0, burst=0),)), fleet=0), 0),
+    ):
         number, _ = drive.arrive(0, plan=plan)
         for call in of(drive.done, it.Count):
             drive.count(call, 1.0)
@@ -789,9 +817,17 @@
 
 
 def test_actions_do_not_depend_on_the_hash_seed() -> None:
-    runs = [subprocess.run([sys.executable, "-c", SCRIPT], capture_output=True, check=True, cwd=ROOT,
-                           timeout=60, env=os.environ | {"PYTHONHASHSEED": seed}).stdout
-            for seed in ("1", "2", "77")]
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            capture_output=True,
+            check=True,
+            cwd=ROOT,
+            timeout=60,
+            env=os.environ | {"PYTHONHASHSEED": seed},
+        ).stdout
+        for seed in ("1", "2", "77")
+    ]
     assert len(runs[0]) > 1000 and runs[0] == runs[1] == runs[2]
 
 
@@ -1008,7 +1044,7 @@
     drive.feed(it.RequestGone(waiting))
     drive.feed(it.RequestGone(waiting))
     assert not of(drive.end(sends[0], it.Outcome.OK), it.Send)
-    customer, = drive.gate.customers.values()
+    (customer,) = drive.gate.customers.values()
     assert customer.out == 0 and not customer.queue
     assert len(of(drive.arrive(spread=2.0)[1], it.Send)) == 1 and customer.out == 1
 
@@ -1018,7 +1054,7 @@
     keyed = replace(KEYED, window_ms=300.0)
     drive = Drive(settings(counter=False, classes=(SAFE, keyed, UNSAFE)), fleet=2)
     number, actions = drive.arrive(kind=1)
-    send, = of(actions, it.Send)
+    (send,) = of(actions, it.Send)
     zone = drive.gate.hosts[send.host].zone
     drive.feed(it.HostList(it.ListKind.DELTA, (it.HostEntry(send.host, zone, 0, it.HostState.DRAINING),)))
     drive.now += 100.0
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -66,16 +66,33 @@
         async with World(lambda words: served()) as world:
             client = await world.client()
             customer, fields = b"00000000b4d65521", b"c=read,t=basic,d=900,units=1,spread=1,first=0"
-            bad = [(b"HELLO", b"3"), (b"API.READ",), (b"API.READ", b"xyz", b"1", fields),
-                   (b"API.READ", b"f" * 16, b"1", fields), (b"API.WRITE", customer, b"1", fields),
-                   (b"API.READ", customer, b"1", fields, b"x" * (4 * 1024 * 1024 + 1)),
-                   (b"API.READ", customer, b"1", b"x" * (64 * 1024 + 1))]
-            bad += [(b"API.READ", customer, b"1", fields.replace(old, new)) for old, new in (
-                (b"read", b"made-up"), (b"basic", b"made-up"), (b"d=900,", b""), (b"900", b"nan"),
-                (b"900", b"-1"), (b"units=1", b"units=inf"), (b"units=1", b"units=0"),
-                (b"units=1", b"units=3"),
-                (b"spread=1", b"spread=2"), (b"spread=1", b"spread=0"), (b"first=0", b"first=1"),
-                (b"first=0", b"first=x"), (b"units=1", b"units=1,units=2"))]
+            bad = [
+                (b"HELLO", b"3"),
+                (b"API.READ",),
+                (b"API.READ", b"xyz", b"1", fields),
+                (b"API.READ", b"f" * 16, b"1", fields),
+                (b"API.WRITE", customer, b"1", fields),
+                (b"API.READ", customer, b"1", fields, b"x" * (4 * 1024 * 1024 + 1)),
+                (b"API.READ", customer, b"1", b"x" * (64 * 1024 + 1)),
+            ]
+            bad += [
+                (b"API.READ", customer, b"1", fields.replace(old, new))
+                for old, new in (
+                    (b"read", b"made-up"),
+                    (b"basic", b"made-up"),
+                    (b"d=900,", b""),
+                    (b"900", b"nan"),
+                    (b"900", b"-1"),
+                    (b"units=1", b"units=inf"),
+                    (b"units=1", b"units=0"),
+                    (b"units=1", b"units=3"),
+                    (b"spread=1", b"spread=2"),
+                    (b"spread=1", b"spread=0"),
+                    (b"first=0", b"first=1"),
+                    (b"first=0", b"first=x"),
+                    (b"units=1", b"units=1,units=2"),
+                )
+            ]
             bad += [(b"API.READ", customer, ident, fields) for ident in (b"", b"a b", b"x" * 65)]
             bad.append((b"API.WRITE", customer, b"1", fields.replace(b"read", b"send")))  # no k
             for words in bad:
@@ -95,10 +112,20 @@
     async def main() -> None:
         async with World(lambda words: served()) as world:
             other = await world.client()
-            for raw in (b"GET / HTTP/1.1\r\n\r\n", b"+OK\r\n", b"*1\r\n:5\r\n", b"*1\r\n*1\r\n$1\r\na\r\n",
-                        b"*2\r\n$3\r\nfoo\r\n$99999\r\n", b"*4\r\n$62914560\r\n" + b"x" * (1 << 20),
-                        b"*-1\r\n", b"*99\r\n", b"*1\r\n$-1\r\n", b"*1\r\n$3\r\nPING\r\n", b"*4" * 200,
-                        pack([b"x" * 60_000] * 4)):
+            for raw in (
+                b"GET / HTTP/1.1\r\n\r\n",
+                b"+OK\r\n",
+                b"*1\r\n:5\r\n",
+                b"*1\r\n*1\r\n$1\r\na\r\n",
+                b"*2\r\n$3\r\nfoo\r\n$99999\r\n",
+                b"*4\r\n$62914560\r\n" + b"x" * (1 << 20),
+                b"*-1\r\n",
+                b"*99\r\n",
+                b"*1\r\n$-1\r\n",
+                b"*1\r\n$3\r\nPING\r\n",
+                b"*4" * 200,
+                pack([b"x" * 60_000] * 4),
+            ):
                 client = await world.client()
                 client.writer.write(raw)
                 assert str(await client.answer()).startswith("-ERR"), raw[:20]
@@ -252,8 +279,13 @@
             client.send(b"PING")
             assert str(await client.answer()).startswith("-ERR")
             host = await Peer(lambda words: served()).start()
-            world.parts.discovery.apply({"seq": 2, "whole": False, "hosts": [
-                {"host": "new", "dial": host.dial, "site": "east", "health": "in_service"}]})
+            world.parts.discovery.apply(
+                {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [{"host": "new", "dial": host.dial, "site": "east", "health": "in_service"}],
+                }
+            )
             client.send(b"PING")
             assert await client.answer() == b"PONG"
             host.server.close()
@@ -300,6 +332,7 @@
 @pytest.mark.parametrize("end", ["close", "reset"])
 def test_a_client_that_leaves_while_its_body_waits_for_a_connection_is_not_sent_on(end: str) -> None:
     """Nothing is read from it while so much of the body waits, so its end is not read either."""
+
     async def main() -> None:
         async with World(lambda words: served()) as world:
             node, start = world.parts.node, world.parts.pools.start
@@ -307,7 +340,7 @@
             head = b"c=pay,t=basic,d=5000,units=1,spread=1,first=0"
             command = pack([b"API.WRITE", b"00000000b4d65521", b"1", head, bytes(200_000)])
             client.writer.write(command[:150_000])
-            connection, = await _connections(world)
+            (connection,) = await _connections(world)
             while not (held and connection.paused):
                 await asyncio.sleep(0)
             if end == "reset":
@@ -333,12 +366,13 @@
 
 def test_what_a_client_sent_that_has_gone_is_not_taken_from_the_buffers_any_more() -> None:
     """Its first requests fill what may be open at once; the others and its end wait unread."""
+
     async def main() -> None:
         async with World(_silent) as world:
             node, client = world.parts.node, await world.client()
             for n in range(clients_module.MAX_PENDING + 8):
                 client.ask(b"%d" % n, wait=3000)
-            connection, = await _connections(world)
+            (connection,) = await _connections(world)
             while not connection.paused:
                 await asyncio.sleep(0)
             client.writer.close()
@@ -355,7 +389,7 @@
             client = await _small_window(world)
             client.ask(b"1")
             client.ask(b"2", wait=4000)
-            connection, = await _connections(world)
+            (connection,) = await _connections(world)
             ours = connection.transport.get_extra_info("socket")
             ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             while not connection.transport.get_write_buffer_size():
@@ -364,7 +398,7 @@
             client.writer.write_eof()
             while world.parts.clients.connections:
                 await asyncio.sleep(0.01)
-            request, = world.parts.node.requests.values()  # its attempt is still out
+            (request,) = world.parts.node.requests.values()  # its attempt is still out
             assert request.done and world.parts.node.clock.now() < request.until - 500.0
 
     run(main())
@@ -383,7 +417,8 @@
 
 @pytest.mark.parametrize("what", ["counter", "connection", "another"])
 def test_a_request_whose_client_left_while_it_waited_is_not_sent_on_and_gives_back_what_it_held(
-        what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    what: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(Customer, "put_right", lambda *_: None)  # tells of a window that began before
 
     async def main() -> None:
@@ -413,7 +448,7 @@
             release.set()
             for attempt in held:
                 start(attempt)
-            customer, = node.module.customers.values()
+            (customer,) = node.module.customers.values()
             while customer.call is not None or customer.waiting:
                 await asyncio.sleep(0.01)
             while len(node.requests) > (what == "another"):
@@ -451,7 +486,8 @@
     for pool in world.parts.pools.pools.values():
         for _ in range(count):
             _, up = await asyncio.get_running_loop().create_connection(
-                partial(HostConnection, pool, pool.address), *pool.address)
+                partial(HostConnection, pool, pool.address), *pool.address
+            )
             pool.all.add(up)
             world.parts.pools.open += 1
             pool.rest(up)
@@ -459,10 +495,12 @@
 
 
 @pytest.mark.parametrize("how", ["close", "reset", "end"])
-@pytest.mark.parametrize("wait", ["counter", "connect", "rested", "body", "repeat", "hosts", "unread",
-                                  "behind"])
+@pytest.mark.parametrize(
+    "wait", ["counter", "connect", "rested", "body", "repeat", "hosts", "unread", "behind"]
+)
 def test_nothing_begins_for_a_client_whose_end_has_come_but_is_not_read_yet(wait: str, how: str) -> None:
     """What a request waited for comes in the turn of the loop in which its client's end has come as well."""
+
     async def main() -> None:
         async with World(_silent, _silent) as world:
             node, pools, leaver = world.parts.node, world.parts.pools, Leaver(world, how)
@@ -483,15 +521,18 @@
                 left = memoryview(command)[:150_000]
                 while left:
                     with contextlib.suppress(BlockingIOError):
-                        left = left[leaver.sock.send(left):]
+                        left = left[leaver.sock.send(left) :]
                     await asyncio.sleep(0)
             else:
                 leaver.ask()
             if wait == "behind":
                 leaver.ask()
-            connection, = await _connections(world)
-            while len(held) < {"counter": 0, "hosts": 0, "unread": clients_module.MAX_PENDING,
-                               "behind": 2}.get(wait, 1) or not node.requests:
+            (connection,) = await _connections(world)
+            while (
+                len(held)
+                < {"counter": 0, "hosts": 0, "unread": clients_module.MAX_PENDING, "behind": 2}.get(wait, 1)
+                or not node.requests
+            ):
                 await asyncio.sleep(0)
             while (wait in ("unread", "body") and not connection.paused) or (wait == "counter" and not calls):
                 await asyncio.sleep(0)
@@ -508,8 +549,12 @@
                 for name in calls:  # the last window's total is asked for as well
                     node.feed(it.CountAnswered(name, it.Outcome.OK, 1.0, 2.0))
             elif wait == "hosts":
-                node.feed(it.HostList(it.ListKind.FULL, tuple(
-                    it.HostEntry(number, 0, 0, it.HostState.READY) for number in numbers)))
+                node.feed(
+                    it.HostList(
+                        it.ListKind.FULL,
+                        tuple(it.HostEntry(number, 0, 0, it.HostState.READY) for number in numbers),
+                    )
+                )
             elif wait == "repeat":
                 next(c for pool in pools.pools.values() for c in pool.all if c.attempt).connection_lost(None)
             for attempt in held:
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -23,10 +23,17 @@
         answers = {b"bad": b"-ERR failed\r\n", b"torn": Peer.RESET}
 
         async with World(lambda words: answers.get(words[2], served())) as world:
-            zeros = {f"handled.{kind}.{end}": 0 for kind in ("read", "send", "pay")
-                     for end in ("passed", "dropped", "bad_gateway")}
+            zeros = {
+                f"handled.{kind}.{end}": 0
+                for kind in ("read", "send", "pay")
+                for end in ("passed", "dropped", "bad_gateway")
+            }
             assert await world.figures() == zeros | {
-                "upstream_tries": 0, "in_progress": 0, "known_hosts": 1, "skipped_hosts": 0}
+                "upstream_tries": 0,
+                "in_progress": 0,
+                "known_hosts": 1,
+                "skipped_hosts": 0,
+            }
             client = await world.client()
             for ident in (b"1", b"2"):
                 client.ask(ident)
@@ -39,8 +46,14 @@
             client.send(b"API.READ", b"nonsense")
             assert str(await client.answer()).startswith("-ERR")  # no request: under no count
             assert await world.figures() == zeros | {
-                "handled.read.passed": 2, "handled.read.dropped": 1, "handled.pay.bad_gateway": 2,
-                "upstream_tries": 4, "in_progress": 0, "known_hosts": 1, "skipped_hosts": 0}
+                "handled.read.passed": 2,
+                "handled.read.dropped": 1,
+                "handled.pay.bad_gateway": 2,
+                "upstream_tries": 4,
+                "in_progress": 0,
+                "known_hosts": 1,
+                "skipped_hosts": 0,
+            }
 
     run(main())
 
@@ -72,7 +85,9 @@
         async with World(lambda words: served()) as world:
             assert (await world.control("/control/ready"))[0] == 200
             for path, ready, pong in (
-                    ("out-of-service", 503, "-ERR not ready"), ("in-service", 200, b"PONG")):
+                ("out-of-service", 503, "-ERR not ready"),
+                ("in-service", 200, b"PONG"),
+            ):
                 for _ in range(2):
                     assert (await world.control(f"/control/{path}", "PUT"))[0] == 200
                     assert (await world.control("/control/ready"))[0] == ready
@@ -84,7 +99,8 @@
 
 
 def test_a_drain_serves_what_is_open_then_closes_all_in_time_and_takes_back_the_closing(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def main() -> None:
         held = Held()
         async with World(held) as world:
@@ -132,15 +148,22 @@
     run(main())
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"GET /control/nothing HTTP/1.1\r\n\r\n", 404), (b"GET /control/ready/ HTTP/1.1\r\n\r\n", 404),
-    (b"PUT /control/ready HTTP/1.1\r\n\r\n", 405), (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
-    (b"DELETE /control/counters HTTP/1.1\r\n\r\n", 405), (b"*1\r\n$4\r\nPING\r\n", 400),
-    (b"\0\1\2\r\n\r\n", 400),
-    (b"GET /control/ready HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 200),
-    (b"GET /control/ready HTTP/1.1\r\nX: " + b"x" * control_module.MAX_CALL, 413),
-    (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"x" * 9000, 413),
-    (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200)])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"GET /control/nothing HTTP/1.1\r\n\r\n", 404),
+        (b"GET /control/ready/ HTTP/1.1\r\n\r\n", 404),
+        (b"PUT /control/ready HTTP/1.1\r\n\r\n", 405),
+        (b"GET /control/out-of-service HTTP/1.1\r\n\r\n", 405),
+        (b"DELETE /control/counters HTTP/1.1\r\n\r\n", 405),
+        (b"*1\r\n$4\r\nPING\r\n", 400),
+        (b"\0\1\2\r\n\r\n", 400),
+        (b"GET /control/ready HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 200),
+        (b"GET /control/ready HTTP/1.1\r\nX: " + b"x" * control_module.MAX_CALL, 413),
+        (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"x" * 9000, 413),
+        (b"PUT /control/in-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200),
+    ],
+)
 def test_a_bad_call_gets_its_status_and_changes_nothing(raw: bytes, status: int) -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
@@ -165,7 +188,8 @@
 
 
 def test_callers_that_say_nothing_or_half_a_call_end_by_themselves_and_hold_up_nobody(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
             crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -174,8 +198,10 @@
                 crowd[-1][1].write(b"GET /control/re" if n % 2 else b"")
             assert (await control(world.operators, "/control/ready"))[0] == 200
             assert len(world.parts.control.calls) <= control_module.CONNECTIONS
-            ends: list[Any] = [await soon(reader.read()) if n % 3 else b"" for n, (reader, _) in
-                               enumerate(crowd[-control_module.CONNECTIONS // 2:])]
+            ends: list[Any] = [
+                await soon(reader.read()) if n % 3 else b""
+                for n, (reader, _) in enumerate(crowd[-control_module.CONNECTIONS // 2 :])
+            ]
             assert all(end.startswith(b"HTTP/1.1 408") for end in ends if end)
             assert any(ends)
             for _, writer in crowd:
@@ -204,7 +230,7 @@
             client = await world.client()
             client.send(b"PING")
             assert await client.answer() == b"PONG"
-            connection, = world.parts.clients.connections
+            (connection,) = world.parts.clients.connections
             connection.leave()
             world.parts.clients._part()
             connection.unread()
--- a/tests/test_node_crowd.py
+++ b/tests/test_node_crowd.py
@@ -32,15 +32,27 @@
 async def _program(folder: Path, sockets: int, **change: Any) -> AsyncIterator[tuple[Any, Any]]:
     """The program with so many descriptors: its process, and the addresses for clients and operators."""
     folder.mkdir(exist_ok=True)
-    source = {"name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-              "counter": "127.0.0.1:1", "seed": "2a", "limits": {"memory_mb": 96, "sockets": sockets},
-              "settings": WIRE, "known": {"seq": 1, "whole": True, "hosts": []}} | change
+    source = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "control": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "counter": "127.0.0.1:1",
+        "seed": "2a",
+        "limits": {"memory_mb": 96, "sockets": sockets},
+        "settings": WIRE,
+        "known": {"seq": 1, "whole": True, "hosts": []},
+    } | change
     path = folder / "config.json"
     path.write_text(json.dumps(source))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
+        sys.executable,
+        "-m",
+        "rainturn.node",
+        stderr=asyncio.subprocess.PIPE,
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
-        env=os.environ | {"EDGE_CONFIG": str(path)})
+        env=os.environ | {"EDGE_CONFIG": str(path)},
+    )
     try:
         assert process.stderr is not None
         addresses: list[tuple[str, int]] = []
@@ -57,15 +69,22 @@
 
 @pytest.mark.parametrize("sockets", [192, 256, 1024])
 def test_idle_clients_that_fill_the_descriptors_keep_discovery_counter_hosts_and_control_from_nothing(
-        sockets: int, tmp_path: Path) -> None:
+    sockets: int, tmp_path: Path
+) -> None:
     """They come while discovery is down; its return, a request and operators' calls still find room."""
+
     async def main() -> None:
         host, counter = await Peer(lambda words: served()).start(), await Peer(Totals()).start()
         agent = await Agent().start()
         agent.server.close()  # down: it refuses
         listed = {"seq": 7, "whole": True, "hosts": [entry("h", host.dial)]}
-        async with _program(tmp_path, sockets, counter=counter.dial, known=listed | {"seq": 1, "hosts": []},
-                            discovery=dial(agent.address)) as (process, (operators, address)):
+        async with _program(
+            tmp_path,
+            sockets,
+            counter=counter.dial,
+            known=listed | {"seq": 1, "hosts": []},
+            discovery=dial(agent.address),
+        ) as (process, (operators, address)):
             idle: list[socket.socket] = []
             for burst in range(4):  # the last ones push others out, at both doors at once
                 os.kill(process.pid, signal.SIGSTOP)
@@ -101,8 +120,10 @@
 
 @pytest.mark.parametrize("discovery", ["down", "silent"])
 def test_many_that_start_at_once_are_ready_soon_whatever_discovery_does(
-        discovery: str, tmp_path: Path) -> None:
+    discovery: str, tmp_path: Path
+) -> None:
     """Nine in ten within 10 s: a start serves from the list it knew, and takes little time of a core."""
+
     async def main() -> None:
         host, counter = await Peer(lambda words: served()).start(), await Peer(Totals()).start()
         silent = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -111,8 +132,9 @@
         took = list[float]()
 
         async def start(number: int) -> None:
-            async with _program(tmp_path / str(number), 256, counter=counter.dial, known=known,
-                                discovery=address) as (process, (_, door)):
+            async with _program(
+                tmp_path / str(number), 256, counter=counter.dial, known=known, discovery=address
+            ) as (process, (_, door)):
                 client = await Client.connect(door)
                 client.send(b"PING")
                 assert await client.answer() == b"PONG"
@@ -133,6 +155,7 @@
 
 def test_a_start_and_a_request_need_no_thread_but_one(tmp_path: Path) -> None:
     """A start was once seen held in a futex: with one thread there is nobody here to wait for."""
+
     async def main() -> None:
         host, counter = await Peer(lambda words: served()).start(), await Peer(Totals()).start()
         known = {"seq": 7, "whole": True, "hosts": [entry("h", host.dial)]}
@@ -150,6 +173,7 @@
 
 def test_a_list_of_1024_hosts_is_taken_up_and_each_can_be_sent_to() -> None:
     """Indented too, and with 1024 gateways in the settings."""
+
     async def main() -> None:
         wire = {"balancers": 1024, "me": 1023}
         held = Held()
@@ -171,8 +195,13 @@
             for _ in range(30):
                 assert await client.answer() == b"value"
             assert (await world.figures())["known_hosts"] == 1024
-            agent.put({"seq": 6, "whole": False, "hosts": [
-                host | {"health": "terminated"} for host in hosts[:1000]]})
+            agent.put(
+                {
+                    "seq": 6,
+                    "whole": False,
+                    "hosts": [host | {"health": "terminated"} for host in hosts[:1000]],
+                }
+            )
             while world.parts.node.module.listed() > 24:
                 await asyncio.sleep(0.01)
             await world.parts.discovery.stop()
@@ -182,8 +211,10 @@
 
 
 def test_1024_gateways_reach_all_of_1024_hosts_and_each_begins_at_a_place_of_its_own() -> None:
-    entries = tuple(it.HostEntry(n, n % 5, n % 200, it.HostState.READY, order=n * 2654435761 % (1 << 32))
-                    for n in range(1, 1025))
+    entries = tuple(
+        it.HostEntry(n, n % 5, n % 200, it.HostState.READY, order=n * 2654435761 % (1 << 32))
+        for n in range(1, 1025)
+    )
     used = set()
     for number in range(1024):
         config = settings_from(WIRE | {"balancers": 1024, "me": number, "plans": []})
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -97,7 +97,9 @@
             assert await client.answer() == b"value"  # sent again, as it never ran
             ends = [await log.ended(), await log.ended()]
             assert [(e.attempt, e.outcome, e.final) for e in ends] == [
-                (0, it.Outcome.FULL, False), (1, it.Outcome.OK, True)]
+                (0, it.Outcome.FULL, False),
+                (1, it.Outcome.OK, True),
+            ]
             client.ask(b"2", b"pay", body=b"x")
             assert await client.answer() == "-ERR failed"  # it may have run: neither repeated nor refused
             assert (await log.ended()).outcome is it.Outcome.ERROR
@@ -155,8 +157,9 @@
 
 def test_a_connect_has_a_time_limit() -> None:
     async def main() -> None:
-        async with World(lambda words: served(), wire={"limits": {
-                "max_attempts": 6, "connect_timeout_ms": 50}}) as world:
+        async with World(
+            lambda words: served(), wire={"limits": {"max_attempts": 6, "connect_timeout_ms": 50}}
+        ) as world:
             log = Log(world)
             deaf = socket.socket()
             deaf.bind(("127.0.0.1", 0))
@@ -192,8 +195,10 @@
 
 @pytest.mark.parametrize("health", ["terminating", "terminated", "unnamed"])
 def test_nothing_is_written_to_a_host_whose_leaving_is_heard_of_while_its_connect_is_under_way(
-        health: str) -> None:
+    health: str,
+) -> None:
     """The agent may have had the news for as long as the grace: that is not ours to use up."""
+
     async def main() -> None:
         async with World(lambda words: served(b"leaves"), lambda words: served(b"stays")) as world:
             pools, discovery = world.parts.pools, world.parts.discovery
@@ -275,7 +280,8 @@
 
 @pytest.mark.parametrize("how", ["cancelled", "spoilt", "never ends"])
 def test_an_earlier_attempt_has_ended_on_its_connection_when_the_next_one_is_written(
-        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The first one's other side is looked at just then: our loop closes a turn later than it writes."""
     monkeypatch.setattr(hosts_module, "STALL_S", 0.05)
     first = {"cancelled": None, "spoilt": b"+OK\r\n", "never ends": b"*3\r\n$5\r\nval"}[how]
@@ -317,10 +323,12 @@
 @pytest.mark.parametrize("late", [True, False])
 def test_a_keyed_repeat_that_waited_for_its_connection_beyond_the_window_is_not_written(late: bool) -> None:
     """The window counts from the first attempt's send; the connect of the repeat comes up when it is over."""
+
     async def main() -> None:
         classes = [one | {"window_ms": 1000, "group": "all"} for one in WIRE["classes"]]
-        async with World(lambda words: b"-ERR failed\r\n", lambda words: b"-ERR failed\r\n",
-                         wire={"classes": classes}) as world:
+        async with World(
+            lambda words: b"-ERR failed\r\n", lambda words: b"-ERR failed\r\n", wire={"classes": classes}
+        ) as world:
             node, pools, client = world.parts.node, world.parts.pools, await world.client()
             start, held = pools.start, list[Attempt]()
 
@@ -347,6 +355,7 @@
 
 def test_an_answer_that_comes_as_its_time_ends_completes_the_attempt_once() -> None:
     """It is in the system's buffers when the timer fires, and the loop has not read it yet."""
+
     async def main() -> None:
         async with World(lambda words: None) as world:
             log, node = Log(world), world.parts.node
@@ -394,8 +403,11 @@
             client = await world.client()
             client.ask(b"1", b"send", extra=b"k=5c0f,", body=b"x")
             assert await client.answer() == b"value"
-            got = [(site, host.commands.get_nowait()) for site, host in zip(sites, world.hosts, strict=True)
-                   if not host.commands.empty()]
+            got = [
+                (site, host.commands.get_nowait())
+                for site, host in zip(sites, world.hosts, strict=True)
+                if not host.commands.empty()
+            ]
             assert len(got) == 2 and got[0][0] == got[1][0]
             assert all(b",k=5c0f," in words[3] for _, words in got)
 
@@ -403,7 +415,8 @@
 
 
 def test_a_connection_carries_one_request_at_a_time_and_is_used_again(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if it had settled
 
     async def main() -> None:
@@ -451,6 +464,7 @@
 @pytest.mark.parametrize("how", ["bytes", "end", "age"])
 def test_a_resting_connection_is_looked_at_before_it_serves_again(how: str) -> None:
     """What comes is in the system's buffers already, and our loop has not read it when the request starts."""
+
     async def main() -> None:
         async with World(lambda words: served()) as world:
             log, pools = Log(world), world.parts.pools
@@ -492,7 +506,7 @@
             client.ask(b"1")
             assert await client.answer() == b"answer to 1"
             peers.append(_peer_of(world))
-            old, = world.parts.pools.pools[1].all
+            (old,) = world.parts.pools.pools[1].all
             client.ask(b"2")
             assert await client.answer() == b"answer to 2"
             while not old.closed:
@@ -504,6 +518,7 @@
 
 def test_who_cannot_connect_gets_the_connection_that_settles() -> None:
     """A host that holds as many connections as it may refuses another; it is not unreachable."""
+
     async def main() -> None:
         async with World(lambda words: served()) as world:
             log, pools = Log(world), world.parts.pools
@@ -569,10 +584,21 @@
 
 def test_a_spoilt_answer_ends_its_attempt_at_once_as_one_that_may_have_run() -> None:
     async def main() -> None:
-        for garbage in (b"HTTP/1.1 200 OK\r\n", b"$-1\r\n", b"*1\r\n$-1\r\n", b"*-1\r\n", b":7\r\n", b"\0",
-                        b"*3\r\n$3000000000\r\nxx", b"*3\r\n$6\r\nvalue\r\n$-1\r\n$-1\r\n",
-                        b"*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n", b"*999999\r\n", b"*3\r\n$65537\r\n",
-                        b"-" + b"x" * 300, b"*3\r\n+value\r\n$-1\r\n$-1\r\n"):
+        for garbage in (
+            b"HTTP/1.1 200 OK\r\n",
+            b"$-1\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*-1\r\n",
+            b":7\r\n",
+            b"\0",
+            b"*3\r\n$3000000000\r\nxx",
+            b"*3\r\n$6\r\nvalue\r\n$-1\r\n$-1\r\n",
+            b"*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n",
+            b"*999999\r\n",
+            b"*3\r\n$65537\r\n",
+            b"-" + b"x" * 300,
+            b"*3\r\n+value\r\n$-1\r\n$-1\r\n",
+        ):
             handler = _first({b"1": garbage}, served())
             async with World(handler, handler) as world:
                 log, client = Log(world), await world.client()
@@ -616,8 +642,13 @@
 
 def test_figures_that_cannot_be_read_do_not_spoil_a_value() -> None:
     async def main() -> None:
-        for rest in (b"$-1\r\n$5\r\nin\0l=\r\n", b":x\r\n$-1\r\n", b"!\r\n", b"$3000000000\r\n",
-                     b"$4\r\nused\r\n:3\r\n"):
+        for rest in (
+            b"$-1\r\n$5\r\nin\0l=\r\n",
+            b":x\r\n$-1\r\n",
+            b"!\r\n",
+            b"$3000000000\r\n",
+            b"$4\r\nused\r\n:3\r\n",
+        ):
             handler = _first({b"1": b"*3\r\n$5\r\nfirst\r\n" + rest}, served())
             async with World(handler) as world:
                 client = await world.client()
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -25,26 +25,48 @@
 
 
 def _config(folder: Path, **change: Any) -> str:
-    source = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
-              "seed": "2a", "limits": {"memory_mb": 192, "sockets": 1024}, "settings": WIRE,
-              "known": {"seq": 1, "whole": True, "hosts": []}} | change
+    source = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "counter": "127.0.0.1:1",
+        "seed": "2a",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "settings": WIRE,
+        "known": {"seq": 1, "whole": True, "hosts": []},
+    } | change
     path = folder / "config.json"
     path.write_text(json.dumps(source))
     return str(path)
 
 
-@pytest.mark.parametrize("change", [
-    {"settings": None}, {"settings": {}}, {"listen": "nowhere"}, {"listen": "127.0.0.1:99999"},
-    {"seed": "x"}, {"counter": 7}, {"settings": WIRE | {"localities": [1]}},
-    {"limits": {"sockets": "many"}}, "text", "taken"])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"settings": None},
+        {"settings": {}},
+        {"listen": "nowhere"},
+        {"listen": "127.0.0.1:99999"},
+        {"seed": "x"},
+        {"counter": 7},
+        {"settings": WIRE | {"localities": [1]}},
+        {"limits": {"sockets": "many"}},
+        "text",
+        "taken",
+    ],
+)
 def test_what_cannot_be_used_is_one_plain_line_and_an_exit_code(tmp_path: Path, change: Any) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
         path = _config(tmp_path, **({"listen": listen} | (change if isinstance(change, dict) else {})))
         if change == "text":
             Path(path).write_text("no JSON")
-        done = subprocess.run([sys.executable, "-m", "rainturn.node"], capture_output=True, timeout=30,
-                              env=os.environ | {"EDGE_CONFIG": path})
+        done = subprocess.run(
+            [sys.executable, "-m", "rainturn.node"],
+            capture_output=True,
+            timeout=30,
+            env=os.environ | {"EDGE_CONFIG": path},
+        )
     lines = done.stderr.decode().splitlines()
     assert done.returncode != 0 and len(lines) == 1 and lines[0].startswith("rainturn: "), lines
 
@@ -60,11 +82,16 @@
             return served()
 
         host, counter = await Peer(handler).start(), await Peer(Totals()).start()
-        path = _config(tmp_path, counter=counter.dial, known={
-            "seq": 1, "whole": True, "hosts": [entry("h", host.dial)]})
+        path = _config(
+            tmp_path, counter=counter.dial, known={"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
+        )
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"EDGE_CONFIG": path})
+            sys.executable,
+            "-m",
+            "rainturn.node",
+            stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"EDGE_CONFIG": path},
+        )
         assert process.stderr is not None
         while b"listening" not in (line := await soon(process.stderr.readline())):
             assert line, "it ended"
@@ -103,7 +130,8 @@
 
 @pytest.mark.parametrize(("longest_ms", "killed_s"), [(400, 1.1), (1200, 1.9), (3000, 3.7), (9000, 3.7)])
 def test_what_is_open_is_answered_before_sigkill_whatever_the_deadlines_are(
-        longest_ms: float, killed_s: float) -> None:
+    longest_ms: float, killed_s: float
+) -> None:
     """SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s at the most."""
     classes = [one | {"hard_limit_ms": longest_ms / (n + 1)} for n, one in enumerate(WIRE["classes"])]
     assert killed_s - 0.6 < answer_by(settings_from(WIRE | {"classes": classes})) < killed_s - 0.3
@@ -156,8 +184,9 @@
             return served()
 
         host, counter = await Peer(handler).start(), await Peer(Totals()).start()
-        path = _config(tmp_path, counter=counter.dial, known={
-            "seq": 1, "whole": True, "hosts": [entry("h", host.dial)]})
+        path = _config(
+            tmp_path, counter=counter.dial, known={"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
+        )
         process, address = await _started(path)
         client, hanging = [await Client.connect(address) for _ in range(2)]
         client.ask(b"1")
@@ -187,8 +216,12 @@
         path = _config(tmp_path)
         for point in (b"", b"control", b"listening"):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
-                env=os.environ | {"EDGE_CONFIG": path, "EDGE_CONTROL": "127.0.0.1:0"})
+                sys.executable,
+                "-m",
+                "rainturn.node",
+                stderr=asyncio.subprocess.PIPE,
+                env=os.environ | {"EDGE_CONFIG": path, "EDGE_CONTROL": "127.0.0.1:0"},
+            )
             if point:
                 await _line(process, point)
             process.send_signal(signal.SIGTERM)
@@ -200,8 +233,12 @@
 
 async def _started(path: str, **environment: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE,
-        env=os.environ | {"EDGE_CONFIG": path} | environment)
+        sys.executable,
+        "-m",
+        "rainturn.node",
+        stderr=asyncio.subprocess.PIPE,
+        env=os.environ | {"EDGE_CONFIG": path} | environment,
+    )
     return process, parse_address((await _line(process, b"listening")).split()[-1])
 
 
@@ -216,7 +253,8 @@
 
 
 def test_sighup_moves_discovery_and_counter_and_loses_nothing_and_a_broken_file_changes_nothing(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     async def main() -> None:
         held = asyncio.Event()
 
@@ -228,8 +266,11 @@
         counters = [await Peer(Totals()).start() for _ in range(2)]
         agents = [await Discovery().start() for _ in range(2)]
         dials = [f"{host}:{port}" for host, port in (agent.address for agent in agents)]
-        first: dict[str, Any] = {"discovery": dials[0], "counter": counters[0].dial, "known": {
-            "seq": 1, "whole": True, "hosts": [entry("h", old.dial)]}}
+        first: dict[str, Any] = {
+            "discovery": dials[0],
+            "counter": counters[0].dial,
+            "known": {"seq": 1, "whole": True, "hosts": [entry("h", old.dial)]},
+        }
         agents[0].put({"seq": 900, "whole": True, "hosts": [entry("h", old.dial)]})
         process, address = await _started(_config(tmp_path, **first), EDGE_DISCOVERY=dials[0])
         while "index=900" not in await soon(agents[0].calls.get()):
@@ -244,8 +285,13 @@
             _config(tmp_path, **first | {"discovery": dials[1], "counter": counters[1].dial})
             process.send_signal(signal.SIGHUP)
             await _line(process, b"configuration read")
-            agents[1].put({"seq": 3, "whole": True, "hosts": [entry("h", old.dial, health="terminating"),
-                                                              entry("g", new.dial)]})
+            agents[1].put(
+                {
+                    "seq": 3,
+                    "whole": True,
+                    "hosts": [entry("h", old.dial, health="terminating"), entry("g", new.dial)],
+                }
+            )
             assert await soon(agents[1].calls.get()) == "/discovery/hosts"
             assert "index=3&" in await soon(agents[1].calls.get())
             agents[1].answers.put_nowait(None)  # for the watch that the next SIGHUP ends
@@ -267,8 +313,7 @@
 
 def test_the_build_compiles_the_program_so_that_a_start_need_not(tmp_path: Path) -> None:
     root = Path(__file__).parent.parent
-    shutil.copytree(root / "rainturn", tmp_path / "rainturn",
-                    ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copytree(root / "rainturn", tmp_path / "rainturn", ignore=shutil.ignore_patterns("__pycache__"))
     python = tmp_path / ".venv" / "bin" / "python"
     python.parent.mkdir(parents=True)
     python.write_text(f'#!/bin/sh\nexec "{sys.executable}" "$@"\n')
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -138,9 +138,17 @@
 
 def test_a_counters_garbage_ends_its_connection_only() -> None:
     async def main() -> None:
-        for garbage in (b"hello\r\n", b"$3\r\nnan\r\n", b"$1\r\nx\r\n", b"*1\r\n$1\r\n1\r\n",
-                        b"$3\r\n1_0\r\n", b"$2\r\n 1\r\n", b"$1\r\n12\r\n", b"-BUSYISH\r\n",
-                        b"$999999999\r\n1"):
+        for garbage in (
+            b"hello\r\n",
+            b"$3\r\nnan\r\n",
+            b"$1\r\nx\r\n",
+            b"*1\r\n$1\r\n1\r\n",
+            b"$3\r\n1_0\r\n",
+            b"$2\r\n 1\r\n",
+            b"$1\r\n12\r\n",
+            b"-BUSYISH\r\n",
+            b"$999999999\r\n1",
+        ):
             answers = iter([garbage])
             async with World(lambda words: served(), counter=partial(_next, answers)) as world:
                 client = await world.client()
@@ -178,8 +186,9 @@
         agent = await Agent().start()
         watch = Watch(world, agent)
         task = asyncio.create_task(watch.discovery.run())
-        agent.put({"seq": 5, "whole": True, "hosts": [entry("a", "127.0.0.1:1"),
-                                                      entry("b", "127.0.0.1:2", "west")]})
+        agent.put(
+            {"seq": 5, "whole": True, "hosts": [entry("a", "127.0.0.1:1"), entry("b", "127.0.0.1:2", "west")]}
+        )
         assert await watch.next() == (it.ListKind.FULL, [(1, it.HostState.READY), (2, it.HostState.READY)])
         assert await soon(agent.calls.get()) == "/discovery/hosts"
         assert (await soon(agent.calls.get())).startswith("/discovery/hosts?index=5&wait=")
@@ -212,6 +221,7 @@
 @pytest.mark.parametrize("damage", [None, "entry", "empty"])
 def test_a_start_watches_from_the_version_it_knows_unless_that_list_is_damaged(damage: str | None) -> None:
     """Days at size: 28 gateways that came back together asked for whole lists and overbooked discovery."""
+
     async def main() -> None:
         async with World() as world:
             agent = await Agent().start()
@@ -231,8 +241,10 @@
 @pytest.mark.parametrize("gateways", [3, 48])
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_start_asks_before_what_it_knows_may_harm(
-        gateways: int, mode: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    gateways: int, mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Days at size: a start that asked 3 s late sent to hosts that had gone while its gateway was down."""
+
     async def main() -> None:
         async with World(wire={"discovery": mode, "balancers": gateways}) as world:
             watch = Watch(world, await Agent().start())
@@ -256,8 +268,9 @@
     run(main())
 
 
-async def _pauses(gateways: int, mode: str, error: Exception, count: int,
-                  monkeypatch: pytest.MonkeyPatch) -> list[float]:
+async def _pauses(
+    gateways: int, mode: str, error: Exception, count: int, monkeypatch: pytest.MonkeyPatch
+) -> list[float]:
     """How long a discovery client pauses, in s, while each call ends as `error`."""
     pauses: list[float] = []
     async with World(wire={"discovery": mode, "balancers": gateways}) as world:
@@ -314,11 +327,14 @@
 
 @pytest.mark.parametrize("gateways", [3, 48, 1024])
 @pytest.mark.parametrize("mode", ["ask", "push"])
-@pytest.mark.parametrize("error", [TimeoutError(), ConnectionResetError(), Refused("status 503"),
-                                   ValueError("not a host list")])
+@pytest.mark.parametrize(
+    "error", [TimeoutError(), ConnectionResetError(), Refused("status 503"), ValueError("not a host list")]
+)
 def test_a_change_is_heard_within_6_s_of_when_discovery_has_it_and_can_be_reached(
-        gateways: int, mode: str, error: Exception, monkeypatch: pytest.MonkeyPatch) -> None:
+    gateways: int, mode: str, error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Watch, pauses and time-outs summed up: where lists are asked for pauses alone came to 20 s at 200."""
+
     async def main() -> None:
         for grace in (200.0, 1000.0, 30_000.0):
             rules = WIRE["rules"] | {"drain_grace_ms": grace}
@@ -336,8 +352,10 @@
 
 
 def test_a_fleet_that_failed_in_step_comes_back_to_discovery_out_of_step(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Days at size: 40 gateways that came back together overbooked discovery."""
+
     async def main() -> None:
         pauses = await _pauses(200, "ask", Refused("status 503"), 400, monkeypatch)
         later = sorted(pauses[5:])
@@ -348,11 +366,14 @@
 
 
 @pytest.mark.parametrize("gateways", [3, 200])
-@pytest.mark.parametrize("error", [TimeoutError(), ConnectionResetError(), Refused("status 503"),
-                                   ValueError("not a host list")])
+@pytest.mark.parametrize(
+    "error", [TimeoutError(), ConnectionResetError(), Refused("status 503"), ValueError("not a host list")]
+)
 def test_an_agent_that_pushes_lists_is_asked_again_within_the_drain_grace_however_large_the_fleet(
-        gateways: int, error: Exception, monkeypatch: pytest.MonkeyPatch) -> None:
+    gateways: int, error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """herd+mass, join+mass: 200 gateways paused for 10 to 30 s and sent on to hosts announced as leaving."""
+
     async def main() -> None:
         pauses = await _pauses(gateways, "push", error, 50, monkeypatch)
         grace = WIRE["rules"]["drain_grace_ms"] / 1000
@@ -363,8 +384,10 @@
 
 @pytest.mark.parametrize("gateways", [3, 200])
 def test_a_watch_that_broke_is_opened_anew_at_once_also_where_lists_are_asked_for(
-        gateways: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """What a silent watch misses counts as told after 6 s; for 3.5 s of these it is waited for."""
+
     async def main() -> None:
         for error in (TimeoutError(), ConnectionResetError()):
             pauses = await _pauses(gateways, "ask", error, 50, monkeypatch)
@@ -375,6 +398,7 @@
 
 def test_news_that_an_agent_had_at_the_start_or_at_its_return_comes_well_within_the_grace() -> None:
     """The agent is silent to every call, then answers new ones only: as where discovery was down."""
+
     async def main() -> None:
         async with World(wire={"rules": WIRE["rules"] | {"drain_grace_ms": 400}}) as world:
             agent = await Agent().start()
@@ -410,8 +434,10 @@
 
 
 def test_older_lists_change_nothing_however_often_they_come_until_discovery_must_be_numbered_anew(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Asked again within the grace, three older lists come within a second: that proves no new numbering."""
+
     async def test(watch: Watch) -> None:
         older = {"seq": 3, "whole": True, "hosts": [entry("b", "127.0.0.1:2", "west")]}
         for _ in range(5):
@@ -430,9 +456,19 @@
         for broken in (b"{", b"[]", b'{"seq":"x","hosts":[]}'):
             watch.agent.put(broken)
             assert "index=5&" in await soon(watch.agent.calls.get())
-        watch.agent.put({"seq": 6, "whole": False, "hosts": [
-            {"host": "c"}, entry("c", "nowhere"), entry("c", "127.0.0.1:4", health="odd"),
-            entry("c", "127.0.0.1:4", born_ms=float("nan")), entry("d", "127.0.0.1:5")]})
+        watch.agent.put(
+            {
+                "seq": 6,
+                "whole": False,
+                "hosts": [
+                    {"host": "c"},
+                    entry("c", "nowhere"),
+                    entry("c", "127.0.0.1:4", health="odd"),
+                    entry("c", "127.0.0.1:4", born_ms=float("nan")),
+                    entry("d", "127.0.0.1:5"),
+                ],
+            }
+        )
         kind, entries = await watch.next()
         assert kind is it.ListKind.DELTA and len(entries) == 1
 
@@ -454,6 +490,7 @@
 
 def test_an_answer_of_the_old_address_that_comes_with_the_move_is_not_put_over_the_new_list() -> None:
     """It is in the system's buffers when SIGHUP moves us, and the loop has not read it yet."""
+
     async def test(watch: Watch) -> None:
         old, news = watch.discovery.writer, Agent()
         await news.start()
@@ -549,7 +586,8 @@
 
 
 def test_a_wish_to_watch_the_list_is_no_error_as_it_is_watched_in_any_case(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def main() -> None:
         async with World(lambda words: served(), wire={"discovery": "ask"}) as world:
             client = await world.client()
@@ -574,7 +612,8 @@
             for action in (it.Refuse(99), it.Fail(99), it.Cancel(99, 0), it.Send(99, 1)):
                 node._perform[type(action)](action, node.clock.now())
             assert [(e.outcome, e.final) for e in seen if isinstance(e, it.AttemptEnded)] == [
-                (it.Outcome.MOOT, True)]
+                (it.Outcome.MOOT, True)
+            ]
             client = await world.client()
             client.ask(b"1")
             assert await client.answer() == b"value"
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -29,7 +29,7 @@
     rng, at, pieces = random.Random(seed), 0, []
     while at < len(data):
         size = rng.randint(1, 3) if at < 200 or len(data) - at < 40 else rng.randint(1, 90_000)
-        pieces.append(data[at:at + size])
+        pieces.append(data[at : at + size])
         at += size
     return pieces
 
@@ -70,7 +70,8 @@
 
 @pytest.mark.parametrize("length", [0, 1, WHOLE - 1, WHOLE, WHOLE + 1, 300_000, LONG])
 def test_values_of_any_length_pass_both_ways_in_pieces_cut_anywhere(
-        length: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    length: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if a connection had settled
 
     async def main() -> None:
@@ -121,7 +122,7 @@
             client.ask(b"1")
             reader, writer = await raw.next(world)
             await _command(reader)
-            connection, = world.parts.clients.connections
+            (connection,) = world.parts.clients.connections
             ours = connection.transport.get_extra_info("socket")
             ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
@@ -129,7 +130,7 @@
             writer.write(served(value))
             while not connection.blocked:
                 await asyncio.sleep(0)
-            host, = world.parts.pools.pools[1].all
+            (host,) = world.parts.pools.pools[1].all
             assert host.held_up and connection.transport.get_write_buffer_size() < 1 << 19
             assert await client.answer() == value
             raw.server.close()
@@ -149,10 +150,10 @@
             client = await world.client()
             client.ask(b"1", b"pay", body=body)
             sock, _ = await soon(asyncio.get_running_loop().sock_accept(listener))
-            connection, = world.parts.clients.connections
+            (connection,) = world.parts.clients.connections
             while not connection.paused:
                 await asyncio.sleep(0)
-            host, = pool.all
+            (host,) = pool.all
             assert host.transport.get_write_buffer_size() < 1 << 20
             reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
             assert (await _command(reader))[4] == body
@@ -205,8 +206,18 @@
 
 def test_a_refused_long_body_is_read_to_its_end_and_the_connection_serves_on() -> None:
     async def main() -> None:
-        wire = {"plans": [{"name": "basic", "price": 1, "per_second": 0.001, "peak_units": 1, "parallel": 0,
-                           "never_over_rate": 0}]}
+        wire = {
+            "plans": [
+                {
+                    "name": "basic",
+                    "price": 1,
+                    "per_second": 0.001,
+                    "peak_units": 1,
+                    "parallel": 0,
+                    "never_over_rate": 0,
+                }
+            ]
+        }
         async with World(lambda words: served(), wire=wire) as world:
             client = await world.client()
             client.ask(b"1")
@@ -221,7 +232,8 @@
 
 
 def test_a_body_that_stands_still_ends_as_an_error_and_its_command_never_runs(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
             raw, client = await _with(world), await world.client()
@@ -275,13 +287,14 @@
             raw = await _with(world)
             for up in (True, False):
                 client = await world.client()
-                command = pack([b"API.WRITE", b"00000000b4d65521", b"1", FIELDS % b"pay",
-                                _bytes(100_000 if up else 10)])
+                command = pack(
+                    [b"API.WRITE", b"00000000b4d65521", b"1", FIELDS % b"pay", _bytes(100_000 if up else 10)]
+                )
                 client.writer.write(command[:80_000])
                 reader, writer = await raw.next(world)
                 if not up:
                     await _command(reader)
-                    writer.write(served(_bytes(LONG))[:1 << 20])
+                    writer.write(served(_bytes(LONG))[: 1 << 20])
                     await soon(client.reader.readexactly(1000))
                 client.writer.transport.abort()
                 if up:
@@ -296,7 +309,8 @@
 
 
 def test_figures_behind_a_value_are_waited_for_and_the_connection_serves_again(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if it had settled
 
     async def main() -> None:
@@ -323,7 +337,7 @@
 def _one(drive: Drive, whole: bool) -> it.Send:
     drive.serial += 1
     arrived = it.Arrived(drive.serial, drive.now + 5000, drive.serial, 0, 0, 1.0, 1.0, False, whole)
-    send, = of(drive.feed(arrived), it.Send)
+    (send,) = of(drive.feed(arrived), it.Send)
     return send  # type: ignore[no-any-return]
 
 
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -52,16 +52,30 @@
 
     async def start(self) -> Gateway:
         path = self.folder / f"{self.control[1]}.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "2a", "settings": WIRE,
-            "limits": {"memory_mb": 192, "sockets": 256}, "control": f"127.0.0.1:{self.control[1]}"}
-            | self.change))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "seed": "2a",
+                    "settings": WIRE,
+                    "limits": {"memory_mb": 192, "sockets": 256},
+                    "control": f"127.0.0.1:{self.control[1]}",
+                }
+                | self.change
+            )
+        )
         run_in = self.folder / "run"
         run_in.mkdir(exist_ok=True)
         fd = self.listener.fileno()
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "rainturn.node", stderr=asyncio.subprocess.PIPE, pass_fds=[fd],
-            env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)})
+            sys.executable,
+            "-m",
+            "rainturn.node",
+            stderr=asyncio.subprocess.PIPE,
+            pass_fds=[fd],
+            env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)},
+        )
         STARTED.append(self.process)
         self.lines: list[bytes] = []
         await self.line(b"listening on 127.0.0.1:%d" % self.listener.getsockname()[1])
@@ -98,8 +112,11 @@
         host, counter = await Peer(handler).start(), await Peer(Totals()).start()
         agent = await Discovery().start()
         known = {"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
-        change: dict[str, Any] = {"counter": counter.dial, "known": known,
-                                  "discovery": f"{agent.address[0]}:{agent.address[1]}"}
+        change: dict[str, Any] = {
+            "counter": counter.dial,
+            "known": known,
+            "discovery": f"{agent.address[0]}:{agent.address[1]}",
+        }
         for _ in range(2):
             agent.put(known)
             agent.answers.put_nowait(None)  # its watch stays open
@@ -136,8 +153,10 @@
     run(main())
 
 
-@pytest.mark.parametrize("state", [
-    b"", b"{", b"[1]", b'{"by": 7}', json.dumps({"by": "gone", "at": time.time(), "state": {}}).encode()])
+@pytest.mark.parametrize(
+    "state",
+    [b"", b"{", b"[1]", b'{"by": 7}', json.dumps({"by": "gone", "at": time.time(), "state": {}}).encode()],
+)
 def test_a_file_that_says_nothing_of_use_means_a_plain_start(tmp_path: Path, state: bytes) -> None:
     async def main() -> None:
         host = await Peer(lambda words: served()).start()
@@ -145,8 +164,9 @@
         (tmp_path / "run" / STATE).write_bytes(state)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             known = {"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
-            gateway = await Gateway(tmp_path, listener, counter="127.0.0.1:1", discovery="127.0.0.1:1",
-                                    known=known).start()
+            gateway = await Gateway(
+                tmp_path, listener, counter="127.0.0.1:1", discovery="127.0.0.1:1", known=known
+            ).start()
             assert await gateway.ready()
             await gateway.end()
         host.server.close()
@@ -167,8 +187,9 @@
         told: list[tuple[str, int | None, bool]] = []
 
         def side(name: str) -> Handover:
-            return Handover(tmp_path, lambda: {"from": name},
-                            lambda held, older: told.append((name, held, older)))
+            return Handover(
+                tmp_path, lambda: {"from": name}, lambda held, older: told.append((name, held, older))
+            )
 
         old, new = side("old"), side("new")
         assert await old.begin() is None
@@ -227,14 +248,24 @@
     assert new.gate.skipped() == 1
     assert not new.gate.ready(new.now)  # its list may be old
     assert new.gate.ready(new.now + 1000.0)
-    new.feed(it.HostList(it.ListKind.FULL, tuple(
-        it.HostEntry(n + 1, 0, 0, it.HostState.READY) for n in range(3))))
+    new.feed(
+        it.HostList(it.ListKind.FULL, tuple(it.HostEntry(n + 1, 0, 0, it.HostState.READY) for n in range(3)))
+    )
     assert new.gate.ready(new.now)
 
 
-@pytest.mark.parametrize("change", [
-    {"hosts": {"1": [1]}}, {"customers": [[1, 99, 1.0]]}, {"customers": [[1, 0, 1.0, "x"]]}, {"tiers": []},
-    {"typical": [[1.0, float("nan")]]}, {"pool": [[1, 2], [3, 4], [5, 6]]}, {"crowd": None}])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"hosts": {"1": [1]}},
+        {"customers": [[1, 99, 1.0]]},
+        {"customers": [[1, 0, 1.0, "x"]]},
+        {"tiers": []},
+        {"typical": [[1.0, float("nan")]]},
+        {"pool": [[1, 2], [3, 4], [5, 6]]},
+        {"crowd": None},
+    ],
+)
 def test_a_damaged_state_changes_nothing(change: dict[str, Any]) -> None:
     drive = Drive(settings(), fleet=3)
     before = drive.gate.carried()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -131,8 +131,13 @@
 
 
 STEPS = st.lists(st.tuples(st.integers(0, 10), st.integers(0, 100)), max_size=120)
-QUICK = profile(max_examples=60, deadline=None, derandomize=True, database=None,
-                suppress_health_check=[HealthCheck.too_slow])
+QUICK = profile(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
 
 
 def play(config: it.Settings, steps: list[tuple[int, int]]) -> Judge:
@@ -202,7 +207,8 @@
 @pytest.mark.parametrize("gateways", [3, 24, 200])
 @pytest.mark.parametrize("sizes", [(1.0,), (1.0, 0.25)])
 def test_rule_four_holds_for_the_sum_of_what_unequal_gateways_send(
-        gateways: int, sizes: tuple[float, ...]) -> None:
+    gateways: int, sizes: tuple[float, ...]
+) -> None:
     """Unequal traffic as much as all hosts can do, a third of them cold one after another, attempts that fail
     and are repeated, and gateways that start anew: no span holds more than the budget and chance.
     """
@@ -224,14 +230,30 @@
                 sent[send.host - 1].append(now)
             failed = rng.random() < 0.2
             repeats += failed
-            act(gate, gate.handle(now, it.AttemptEnded(
-                send.request, len(gate.open[send.request].sends) - 1, send.host,
-                it.Outcome.ERROR if failed else it.Outcome.OK, 50.0, not failed)))
+            act(
+                gate,
+                gate.handle(
+                    now,
+                    it.AttemptEnded(
+                        send.request,
+                        len(gate.open[send.request].sends) - 1,
+                        send.host,
+                        it.Outcome.ERROR if failed else it.Outcome.OK,
+                        50.0,
+                        not failed,
+                    ),
+                ),
+            )
 
     def listed() -> it.HostList:
-        return it.HostList(it.ListKind.FULL, tuple(
-            it.HostEntry(n + 1, 0, 0, it.HostState.READY, size[n], born[n])
-            for n in range(hosts) if born[n] <= now))
+        return it.HostList(
+            it.ListKind.FULL,
+            tuple(
+                it.HostEntry(n + 1, 0, 0, it.HostState.READY, size[n], born[n])
+                for n in range(hosts)
+                if born[n] <= now
+            ),
+        )
 
     stop = now + 700.0 * hosts + rules.warm_ms
     while now < stop:
@@ -256,4 +278,4 @@
             warmth = rules.cold_share + (1 - rules.cold_share) * (at - born[n]) / rules.warm_ms
             budget = rules.fall_multiple * warmth * rate * size[n] * rules.fall_ms
             here = sum(at <= later < at + rules.fall_ms for later in times[i:])
-            assert here <= budget + 2 * budget ** 0.5 + 2, (n, at - born[n], here, budget)
+            assert here <= budget + 2 * budget**0.5 + 2, (n, at - born[n], here, budget)
