Split connections to hosts from their pools

- host_connection.py: one connection, what is written on it and read from it, one attempt at a time.
It knows its pool through a protocol (`Owner`) of what it needs: the node, the idle limit, and the calls by which it rests or is forgotten.
So it imports nothing from the pools.
- host_pools.py: the connections of each host, the attempts that wait for one, and the budget of all connections.

No statement of either changed but for the path to the node.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -25,7 +25,7 @@
 from rainturn.node.discovery import Discovery, parse_address
 from rainturn.node.gateway import Clock, Node
 from rainturn.node.handover import Handover, inherited
-from rainturn.node.hosts import HostPools
+from rainturn.node.host_pools import HostPools
 from rainturn.settings import Names, names_from, settings_from
 
 log = logging.getLogger("rainturn.node")
--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -15,7 +15,7 @@
 
 from rainturn import interface as it
 from rainturn.node.gateway import Node
-from rainturn.node.hosts import HostPools
+from rainturn.node.host_pools import HostPools
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -15,7 +15,7 @@
 from rainturn.logic import Customer
 from rainturn.node import clients as clients_module
 from rainturn.node.gateway import Attempt
-from rainturn.node.hosts import HostConnection
+from rainturn.node.host_connection import HostConnection
 from rainturn.node.resp import pack
 from tests.sockets import WIRE, Client, FailingListener, Held, Peer, Totals, World, reset, run, served, soon
 
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -11,7 +11,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import hosts as hosts_module
+from rainturn.node import host_connection, host_pools
 from rainturn.node.gateway import Attempt, Request
 from tests.sockets import WIRE, Held, Peer, World, entry, reset, run, served, soon
 
@@ -283,18 +283,18 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The first one's other side is looked at just then: our loop closes a turn later than it writes."""
-    monkeypatch.setattr(hosts_module, "STALL_S", 0.05)
+    monkeypatch.setattr(host_connection, "STALL_S", 0.05)
     first = {"cancelled": None, "spoilt": b"+OK\r\n", "never ends": b"*3\r\n$5\r\nval"}[how]
-    begin, asked, ended = hosts_module.HostConnection.begin, list[socket.socket](), list[bool]()
+    begin, asked, ended = host_connection.HostConnection.begin, list[socket.socket](), list[bool]()
 
-    def look(connection: hosts_module.HostConnection, attempt: Attempt, now: float) -> None:
+    def look(connection: host_connection.HostConnection, attempt: Attempt, now: float) -> None:
         poll = select.poll()
         for other in asked:
             poll.register(other, select.POLLRDHUP)
         ended.append(len(poll.poll(0)) == len(asked))
         begin(connection, attempt, now)
 
-    monkeypatch.setattr(hosts_module.HostConnection, "begin", look)
+    monkeypatch.setattr(host_connection.HostConnection, "begin", look)
 
     async def main() -> None:
         async with World(lambda words: served(), lambda words: served()) as world:
@@ -371,7 +371,7 @@
             node.attempt_ended(attempt, it.Outcome.OK, b"value")
             assert (await log.ended()).outcome is it.Outcome.TIMEOUT
             await soon(world.hosts[0].closed.get())
-            assert isinstance(connection, hosts_module.HostConnection) and connection.closed
+            assert isinstance(connection, host_connection.HostConnection) and connection.closed
             assert attempt.request.out == 0 and log.events.empty() and not world.parts.pools.open
 
     run(main())
@@ -417,7 +417,7 @@
 def test_a_connection_carries_one_request_at_a_time_and_is_used_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if it had settled
+    monkeypatch.setattr(host_pools, "SETTLE_MS", 0.0)  # as if it had settled
 
     async def main() -> None:
         release = asyncio.Event()
@@ -471,7 +471,7 @@
             pool = pools.pools[1]
             pools.start(_attempt(world))
             assert (await log.ended()).outcome is it.Outcome.OK
-            pool.idle[0].idle_since -= hosts_module.SETTLE_MS
+            pool.idle[0].idle_since -= host_pools.SETTLE_MS
             await soon(world.hosts[0].commands.get())
             old, peer = pool.idle[0], _peer_of(world)
             raw = socket.socket(fileno=socket.dup(peer.get_extra_info("socket").fileno()))
@@ -491,7 +491,7 @@
 
 
 def test_a_second_answer_that_comes_late_is_not_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(hosts_module, "SETTLE_MS", 20_000.0, raising=False)  # as if no time passed
+    monkeypatch.setattr(host_pools, "SETTLE_MS", 20_000.0, raising=False)  # as if no time passed
 
     async def main() -> None:
         peers: list[Any] = []
@@ -610,7 +610,7 @@
 
 
 def test_an_answer_that_begins_and_never_ends_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(hosts_module, "STALL_S", 0.05)
+    monkeypatch.setattr(host_connection, "STALL_S", 0.05)
 
     async def main() -> None:
         for begun in (b"*3\r\n$60000\r\nxx", b"-", b"*"):
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -11,7 +11,7 @@
 
 from rainturn import interface as it
 from rainturn.node import clients as clients_module
-from rainturn.node import hosts as hosts_module
+from rainturn.node import host_connection, host_pools
 from rainturn.node.resp import WHOLE, pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.sockets import Client, World, reset, run, served, soon
@@ -72,7 +72,7 @@
 def test_values_of_any_length_pass_both_ways_in_pieces_cut_anywhere(
     length: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if a connection had settled
+    monkeypatch.setattr(host_pools, "SETTLE_MS", 0.0)  # as if a connection had settled
 
     async def main() -> None:
         body, value = _bytes(length), _bytes(length + 1 if length < LONG else length)
@@ -277,7 +277,7 @@
             assert str(await client.answer()).startswith("-BUSY")  # the command stayed short: it never ran
             listener.close()
 
-    monkeypatch.setattr(hosts_module, "UPLOAD_STALL_S", 0.2)
+    monkeypatch.setattr(host_connection, "UPLOAD_STALL_S", 0.2)
     run(main())
 
 
@@ -311,7 +311,7 @@
 def test_figures_behind_a_value_are_waited_for_and_the_connection_serves_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(hosts_module, "SETTLE_MS", 0.0)  # as if it had settled
+    monkeypatch.setattr(host_pools, "SETTLE_MS", 0.0)  # as if it had settled
 
     async def main() -> None:
         async with World(lambda words: served()) as world:
