Name host connections, pools and counter calls in standard terms

Behaviour is unchanged; what was renamed:

- host_pools.py: Pool -> HostPool, all -> connections, rest -> release, lost -> remove, close_unheard -> close_idle_before, listed -> update_host, hand_back -> return_waiting, part -> close_idle, forgotten -> on_forgotten, idle_ms -> idle_limit_ms.
- counter.py: Call -> CounterCall; heard and used -> received_at and sent_at; unwritten -> queued, timely -> by_age; whether a connection has to be replaced and whether another is wanted are methods of their own; the longest life of a count is a named constant.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -305,7 +305,7 @@
     if not handed_on:
         await asyncio.sleep(min(ACCEPT_MORE_S, end - loop.time()))
     parts.clients.stop(not handed_on)
-    parts.pools.part()
+    parts.pools.close_idle()
     await parts.clients.gone(end - loop.time())
     for request in [r for r in node.requests.values() if not r.done]:
         node.end_now(request)
--- a/rainturn/node/counter.py
+++ b/rainturn/node/counter.py
@@ -1,4 +1,4 @@
-"""Calls to the shared counter over a few connections; on each the answers come in the order of the calls."""
+"""Calls to the shared counter over a few connections, each of which answers in the order of its calls."""
 
 from __future__ import annotations
 
@@ -12,49 +12,57 @@
 
 log = logging.getLogger(__name__)
 
-REST_MS = 5000.0  # a connection unused for this long is replaced: the counter may close it any moment
-SILENT_TIMES = 4.0  # a connection without a word for so many time-outs is replaced: a crowd answers late
-CONNECTIONS = 4  # at most: a spoilt answer or a break takes along the calls behind it on the same one
-RETRY_MS = 100.0  # pause after a connect that failed
+IDLE_LIMIT_MS = 5000.0  # a connection idle for longer is replaced: the counter may close it any moment
+SILENT_TIMEOUTS = 4.0  # one that owes answers and got no byte for so many time-outs is replaced
+MAX_CONNECTIONS = 4  # more than one: a malformed answer or a break ends all calls on the same connection
+MAX_TTL_MS = 60_000  # longest life of a count that the protocol knows
+RECONNECT_MS = 100.0  # pause after a connect that failed
 
 
-class Call:
-    """One call."""
+class CounterCall:
+    """One call: the count's name, the command as sent, its start (Unix time in ms), whether it has ended."""
 
-    __slots__ = ("name", "words", "since", "ended")
+    __slots__ = ("name", "command", "started_at", "ended")
 
-    def __init__(self, name: int, words: bytes, since: float) -> None:
-        self.name, self.words, self.since, self.ended = name, words, since, False
+    def __init__(self, name: int, command: bytes, started_at: float) -> None:
+        self.name, self.command, self.started_at = name, command, started_at
+        self.ended = False
 
 
 class CounterConnection(Outgoing):
-    """A connection and the calls written on it that are not answered yet, ended ones too."""
+    """A connection, with the calls sent on it that have no answer yet, also those that have timed out."""
 
     def __init__(self, counter: Counter) -> None:
         super().__init__()
         self.counter = counter
-        self.calls: deque[Call] = deque()
-        self.heard = self.used = counter.node.clock.now()
-        self.retiring = False  # the counter has moved: it closes with its last answer
+        self.calls: deque[CounterCall] = deque()  # in the order of their answers
+        self.received_at = self.sent_at = counter.node.clock.now()  # the last time of each
+        self.retiring = False  # whether the counter has moved: then its last answer closes it
 
-    def write(self, call: Call, now: float) -> None:
-        """Send a call behind those before it."""
+    def write(self, call: CounterCall, now: float) -> None:
+        """Send a call."""
         if not self.calls:
-            self.heard = now
-        self.used = now
+            self.received_at = now
+        self.sent_at = now
         self.calls.append(call)
-        self.transport.write(call.words)
+        self.transport.write(call.command)
+
+    def must_be_replaced(self, now: float) -> bool:
+        """Whether it may be dead: silent though it owes answers, or idle for longer than the limit."""
+        if self.calls:
+            return now - self.received_at > SILENT_TIMEOUTS * self.counter.timeout_ms
+        return now - self.sent_at > IDLE_LIMIT_MS
 
     def data_received(self, data: bytes) -> None:
-        """Give each answer to the call it belongs to, also to one that has timed out meanwhile."""
+        """Match each answer to its call, also to one that has timed out meanwhile."""
         if self.closed:
             return
-        self.heard = self.counter.node.clock.now()
+        self.received_at = self.counter.node.clock.now()
         data, at = self.buffer + data if self.buffer else data, 0
         try:
             while at < len(data) and (answer := total(data, at)) is not None:
                 if not self.calls:
-                    raise Spoilt("unasked answer")
+                    raise Spoilt("an answer without a call")
                 at = answer.end
                 if answer.total is None:
                     self.counter.ended(self.calls.popleft(), it.Outcome.FULL, 0.0)
@@ -64,27 +72,28 @@
                     return
             self.buffer = data[at:]
         except Spoilt:
-            # Guards against taking an answer for that of another call: what is out may have been added.
+            # Guards against taking an answer for that of another call: what was called may have been added.
             return self.close()
         if self.retiring and not self.calls:
             self.close()
 
     def close(self) -> None:
-        """End the connection; what was written may have been added, unless it never left whole.
+        """End the connection; what was called may have been added, unless it was never sent whole.
 
-        Its calls end as reset, not as timed out: that says nothing of how crowded the counter is.
+        Its calls end as reset, not as timed out: that says nothing about the load of the counter.
         """
         if self.closed:
             return
         self.closed = True
         self.transport.abort()
-        self.counter.lost(self)
-        last = self.calls[-1] if self.calls and self.unsent else None
+        self.counter.remove(self)
+        not_sent = self.calls[-1] if self.calls and self.unsent else None
         for call in self.calls:
-            self.counter.ended(call, it.Outcome.UNREACHABLE if call is last else it.Outcome.RESET, 0.0)
+            outcome = it.Outcome.UNREACHABLE if call is not_sent else it.Outcome.RESET
+            self.counter.ended(call, outcome, 0.0)
 
     def eof_received(self) -> None:
-        """The counter will answer no more."""
+        """The counter has closed its side: no answer will come."""
         self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -93,21 +102,21 @@
 
 
 class Counter:
-    """A few connections, calls that wait for the first, and the time-outs, which are ours."""
+    """The calls to the counter: a few connections, calls that wait for the first one, and time-outs."""
 
     def __init__(self, node: Node, address: tuple[str, int]) -> None:
         self.node, self.address = node, address
         self.timeout_ms = node.settings.counter_timeout_ms
         self.connections: list[CounterConnection] = []
-        self.task: asyncio.Task[None] | None = None
-        self.unwritten: deque[Call] = deque()
-        self.timely: deque[Call] = deque()  # calls by age: all have the same time-out
-        self.timer: asyncio.TimerHandle | None = None
+        self.connect_task: asyncio.Task[None] | None = None
+        self.queued: deque[CounterCall] = deque()  # for want of a connection
+        self.by_age: deque[CounterCall] = deque()  # all calls, also ended ones until their time-out
+        self.timeout_timer: asyncio.TimerHandle | None = None  # for the oldest call
         self.retry_at = 0.0
         self.stopped = False
 
     def move(self, address: tuple[str, int]) -> None:
-        """Make further calls at another address; those that are out may still be answered."""
+        """Make further calls to another address; those already sent may still be answered."""
         if address == self.address:
             return
         self.address, self.retry_at = address, 0.0
@@ -118,28 +127,30 @@
                 connection.close()
 
     def call(self, name: int, amount: float, ttl: float) -> None:
-        """Begin a call."""
+        """Begin a call: add `amount` to the count `name`, which lives for `ttl` ms if it is new."""
         now = self.node.clock.now()
-        words = pack((b"ADDGET", b"%d" % name, b"%.9g" % amount, b"%d" % max(1, min(60_000, round(ttl)))))
-        call = Call(name, words, now)
-        self.timely.append(call)
-        if self.timer is None:
-            self.timer = self.node.loop.call_later(self.timeout_ms / 1000, self._time_out)
+        ttl_ms = max(1, min(MAX_TTL_MS, round(ttl)))
+        call = CounterCall(name, pack((b"ADDGET", b"%d" % name, b"%.9g" % amount, b"%d" % ttl_ms)), now)
+        self.by_age.append(call)
+        if self.timeout_timer is None:
+            self.timeout_timer = self.node.loop.call_later(self.timeout_ms / 1000, self._time_out)
         for connection in list(self.connections):
-            # Guards against calls lost to a connection that went silent, or that the counter closes for
-            # having rested: both are replaced first.
-            silent = SILENT_TIMES * self.timeout_ms
-            since, most = (connection.heard, silent) if connection.calls else (connection.used, REST_MS)
-            if now - since > most:
+            # Guards against calls lost to a connection that went silent, or that the counter closes because
+            # it was idle: both are replaced first.
+            if connection.must_be_replaced(now):
                 connection.close()
-        best = min(self.connections, key=lambda c: len(c.calls), default=None)
+        best = min(self.connections, key=lambda connection: len(connection.calls), default=None)
         if best is None:
-            self.unwritten.append(call)
-        if self.task is None and (best is None or (best.calls and len(self.connections) < CONNECTIONS)):
-            self.task = self.node.loop.create_task(self._connect())
+            self.queued.append(call)
+        if self.connect_task is None and (best is None or self._wants_more(best)):
+            self.connect_task = self.node.loop.create_task(self._connect())
         if best is not None:
             best.write(call, now)
 
+    def _wants_more(self, best: CounterConnection) -> bool:
+        """Whether another connection should be opened, as even the least used one owes an answer."""
+        return bool(best.calls) and len(self.connections) < MAX_CONNECTIONS
+
     async def _connect(self) -> None:
         loop, clock = self.node.loop, self.node.clock
         try:
@@ -153,45 +164,47 @@
                         )
                 except OSError:  # a time-out is one
                     connection = None
-                if address != self.address:  # it moved while the connect was under way
+                if address != self.address:  # the counter moved while the connect was under way
                     if connection is not None:
                         connection.close()
                     continue
                 if connection is None or connection.closed:
-                    self.retry_at = clock.now() + RETRY_MS
-                    if not self.unwritten:
+                    self.retry_at = clock.now() + RECONNECT_MS
+                    if not self.queued:
                         return
                     continue
                 self.connections.append(connection)
-                while self.unwritten and not connection.closed:
-                    connection.write(self.unwritten.popleft(), clock.now())
+                while self.queued and not connection.closed:
+                    connection.write(self.queued.popleft(), clock.now())
                 return
         finally:
-            self.task = None
+            self.connect_task = None
 
     def _time_out(self) -> None:
-        """End the calls that are overdue, and come back when the next is."""
-        self.timer = None
-        while self.timely:
-            call, now = self.timely[0], self.node.clock.now()
-            left = call.since + self.timeout_ms - now
-            if not call.ended and left > 0:
-                self.timer = self.node.loop.call_later(left / 1000, self._time_out)
+        """End the calls that are overdue, and set the timer for the next one."""
+        self.timeout_timer = None
+        while self.by_age:
+            call, now = self.by_age[0], self.node.clock.now()
+            time_left_ms = call.started_at + self.timeout_ms - now
+            if not call.ended and time_left_ms > 0:
+                self.timeout_timer = self.node.loop.call_later(time_left_ms / 1000, self._time_out)
                 return
-            self.timely.popleft()
-            if call in self.unwritten:
-                self.unwritten.remove(call)
+            self.by_age.popleft()
+            if call in self.queued:
+                self.queued.remove(call)
                 self.ended(call, it.Outcome.UNREACHABLE, 0.0)
             else:
                 self.ended(call, it.Outcome.TIMEOUT, 0.0)
 
-    def ended(self, call: Call, outcome: it.Outcome, total: float) -> None:
-        """Tell the module what came of a call, once."""
+    def ended(self, call: CounterCall, outcome: it.Outcome, total: float) -> None:
+        """Report the outcome of a call to the module, once; `total` counts for `Outcome.OK` only."""
         if not call.ended:
             call.ended = True
-            self.node.feed(it.CountAnswered(call.name, outcome, total, self.node.clock.now() - call.since))
+            self.node.feed(
+                it.CountAnswered(call.name, outcome, total, self.node.clock.now() - call.started_at)
+            )
 
-    def lost(self, connection: CounterConnection) -> None:
+    def remove(self, connection: CounterConnection) -> None:
         """Forget a connection; the next call opens another."""
         if connection in self.connections:
             self.connections.remove(connection)
--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -84,7 +84,7 @@
         self.blocks: dict[str, str] = {}  # host name -> block
         self.cells: dict[str, int] = {}  # block -> the module's number
         self.last_number = self.last_cell = 0
-        pools.forgotten = self._forget
+        pools.on_forgotten = self._forget
         self.seq: int | None = None
         rules = node.settings.rules
         self.pushed = not node.settings.asks_for_list
@@ -145,13 +145,13 @@
             named = {entry.host for entry, _ in entries}
             for host, pool in list(self.pools.pools.items()):
                 if host not in named:
-                    self.pools.listed(host, pool.address, it.HostState.GONE, pool.started)
+                    self.pools.update_host(host, pool.address, it.HostState.GONE, pool.started)
         for entry, address in entries:
-            self.pools.listed(entry.host, address, entry.state, entry.started)
+            self.pools.update_host(entry.host, address, entry.state, entry.started)
         kind = it.ListKind.CACHED if cached else it.ListKind.FULL if whole else it.ListKind.DELTA
         if whole or entries:
             self.node.feed(it.HostList(kind, tuple(entry for entry, _ in entries)))
-            self.pools.hand_back()
+            self.pools.return_waiting()
         sound = whole and len(entries) == len(news["hosts"]) > 0
         self.seq = seq if sound or not cached else None
 
@@ -170,7 +170,7 @@
             self.cells[block] = self.last_cell
         self.blocks[name] = block
         number = self.numbers[name]
-        self.pools.pool(number, name)
+        self.pools.add(number, name)
         order = zlib.crc32(name.encode())
         return it.HostEntry(number, zone, self.cells[block], state, size, born, order), address
 
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -1,4 +1,4 @@
-"""The connections to each host, the attempts that wait for one, and the budget of all connections."""
+"""The connections to each host, the attempts that wait for one, and the limit on all connections."""
 
 from __future__ import annotations
 
@@ -10,65 +10,67 @@
 from rainturn.node.gateway import Attempt, Node
 from rainturn.node.host_connection import HostConnection
 
-SETTLE_MS = 10.0  # a connection rests so long before it serves again: second answers come some ms late
-IDLE_PART = 0.7  # part of the hosts' idle limit after which we close: a request must not cross their close
+SETTLE_MS = 10.0  # idle time before a connection is used again: a host's second answer comes some ms late
+IDLE_LIMIT_PART = 0.7  # of the hosts' own idle limit: a request must not cross their close
 
 
-class Pool:
+class HostPool:
     """The connections to one host and the attempts that wait for one."""
 
-    def __init__(self, hosts: HostPools, number: int, name: str) -> None:
-        self.hosts, self.number, self.name = hosts, number, name
+    def __init__(self, pools: HostPools, number: int, name: str) -> None:
+        self.pools, self.number, self.name = pools, number, name
         self.address, self.started = ("", 0), 0.0
-        self.leaving = False  # whether the host drains or is gone, as far as we know
+        self.leaving = False  # whether the list says that the host drains or is gone
         self.gone = False
         self.idle: deque[HostConnection] = deque()  # most recently used last
-        self.all: set[HostConnection] = set()
+        self.connections: set[HostConnection] = set()
         self.connecting = 0
         self.waiting: deque[Attempt] = deque()
-        self.sweeper: asyncio.TimerHandle | None = None
-        self.settler: asyncio.TimerHandle | None = None  # while who could not connect waits for one to settle
+        self.idle_timer: asyncio.TimerHandle | None = None  # for the close of the oldest idle connection
+        self.settle_timer: asyncio.TimerHandle | None = (
+            None  # set while an attempt waits for SETTLE_MS to pass
+        )
 
     @property
     def node(self) -> Node:
         """The gateway's event loop and clock."""
-        return self.hosts.node
+        return self.pools.node
 
     @property
-    def idle_ms(self) -> float:
-        """How long a connection may rest before it is closed."""
-        return self.hosts.idle_ms
+    def idle_limit_ms(self) -> float:
+        """How long a connection may stay idle before it is closed."""
+        return self.pools.idle_limit_ms
 
     def start(self, attempt: Attempt) -> None:
-        """Use a connection that rests, or open one."""
+        """Use an idle connection, or open one."""
         self.waiting.append(attempt)
-        self._serve()
+        self._serve_waiting()
 
-    def _serve(self) -> None:
-        """Give those who wait what has settled, and open a connection if too few are on their way."""
-        self._use_settled()
+    def _serve_waiting(self) -> None:
+        """Use idle connections for what waits, and open one if too few are being opened."""
+        self._use_idle()
         if self.connecting < len(self.waiting):
             self._open()
 
-    def _use_settled(self) -> None:
-        """Use those last used first, but none whose first answer may yet be followed by a second one."""
+    def _use_idle(self) -> None:
+        """Use the most recently used first, but none that may yet get a second answer to its last command."""
         now = self.node.clock.now()
         while self.waiting:
             found = next((c for c in reversed(self.idle) if now - c.idle_since >= SETTLE_MS), None)
             if found is None:
                 return
             self.idle.remove(found)
-            if not found.fit(now):
+            if not found.usable(now):
                 found.close()
             elif not self._begin(found, self.waiting.popleft()):
-                self.rest(found)
+                self.release(found)
 
-    def _settled(self) -> None:
-        self.settler = None
-        self._serve()
+    def _on_settle_timer(self) -> None:
+        self.settle_timer = None
+        self._serve_waiting()
 
     def _begin(self, connection: HostConnection, attempt: Attempt) -> bool:
-        """Write an attempt, unless its time for that has passed while it waited for a connection."""
+        """Write an attempt, unless it has become pointless while it waited for a connection."""
         node, now = self.node, self.node.clock.now()
         request = attempt.request
         if request.done or self.leaving or now > attempt.begin_by or not request.client.here():
@@ -81,15 +83,15 @@
         return True
 
     def _open(self) -> None:
-        if not self.hosts.make_room():
+        if not self.pools.make_room():
             # Not sent for a shortage of our own: to call the host unreachable would make a well one suspect.
             self.node.attempt_ended(self.waiting.pop(), it.Outcome.MOOT)
             return
         self.connecting += 1
-        self.hosts.connecting += 1
+        self.pools.connecting += 1
         task = self.node.loop.create_task(self._connect())
-        self.hosts.tasks.add(task)  # the loop holds tasks only weakly
-        task.add_done_callback(self.hosts.tasks.discard)
+        self.pools.tasks.add(task)  # the loop holds tasks only weakly
+        task.add_done_callback(self.pools.tasks.discard)
 
     async def _connect(self) -> None:
         node = self.node
@@ -104,105 +106,105 @@
             pass
         finally:
             self.connecting -= 1
-            self.hosts.connecting -= 1
+            self.pools.connecting -= 1
         if connection is not None and not connection.closed:
-            self.all.add(connection)
-            self.hosts.open += 1
-            return self.freed(connection)
-        self._use_settled()
+            self.connections.add(connection)
+            self.pools.open += 1
+            return self._connected(connection)
+        self._use_idle()
         if self.connecting < len(self.waiting):
             if not self.idle:
                 node.attempt_ended(self.waiting.popleft(), it.Outcome.UNREACHABLE)
-            elif self.settler is None:  # the host may hold no more, and these will serve soon
-                self.settler = node.loop.call_later(SETTLE_MS / 1000, self._settled)
+            elif self.settle_timer is None:  # the host may accept no more, and an idle one is usable soon
+                self.settle_timer = node.loop.call_later(SETTLE_MS / 1000, self._on_settle_timer)
         self.forget_if_over()
 
-    def freed(self, connection: HostConnection) -> None:
-        """Give a connection to the attempt that waits longest, or let it rest."""
+    def _connected(self, connection: HostConnection) -> None:
+        """Give a new connection to the attempt that has waited longest, or keep it as an idle one."""
         if connection.address != self.address:
             # Guards against a connect that was under way when the list moved the host.
             connection.close()
-            return self._serve()
+            return self._serve_waiting()
         while self.waiting and not connection.closed:
             if self._begin(connection, self.waiting.popleft()):
                 return
-        self.rest(connection)
+        self.release(connection)
 
-    def rest(self, connection: HostConnection) -> None:
-        """Keep a connection that carries nothing, if it may be of use."""
-        if self.leaving or connection.closed or self.hosts.parting:
+    def release(self, connection: HostConnection) -> None:
+        """Keep a connection that carries nothing as an idle one, if it may be used again; else close it."""
+        if self.leaving or connection.closed or self.pools.closing:
             return connection.close()
         self.idle.append(connection)
-        if self.sweeper is None:
-            self.sweeper = self.node.loop.call_later(self.idle_ms / 1000, self._sweep)
+        if self.idle_timer is None:
+            self.idle_timer = self.node.loop.call_later(self.idle_limit_ms / 1000, self._close_expired)
 
-    def _sweep(self) -> None:
-        """Close what has rested too long, and come back when the next is due."""
+    def _close_expired(self) -> None:
+        """Close the connections that reached the idle limit, and set the timer for the next one."""
         now = self.node.clock.now()
-        self.sweeper = None
-        while self.idle and now - self.idle[0].idle_since >= self.idle_ms - 1:
+        self.idle_timer = None
+        while self.idle and now - self.idle[0].idle_since >= self.idle_limit_ms - 1:
             self.idle[0].close()
         if self.idle:
-            delay = self.idle[0].idle_since + self.idle_ms - now
-            self.sweeper = self.node.loop.call_later(delay / 1000, self._sweep)
+            delay = self.idle[0].idle_since + self.idle_limit_ms - now
+            self.idle_timer = self.node.loop.call_later(delay / 1000, self._close_expired)
 
     def close_idle(self) -> None:
-        """Close the connections that carry nothing."""
+        """Close the idle connections."""
         while self.idle:
             self.idle[0].close()
 
-    def close_unheard(self, since: float) -> None:
-        """Close resting connections that were last heard before an attempt went out and got no answer.
+    def close_idle_before(self, time: float) -> None:
+        """Close the idle connections that received their last bytes before `time` (Unix time in ms).
 
-        Guards against a machine that vanished: its connections stay open and swallow one attempt each,
-        which then may have run; a new connect that fails proves that nothing did.
+        Called with the time at which an attempt was sent that got no answer. Guards against a machine that
+        vanished: its connections stay open and swallow one attempt each, which then may have run; a new
+        connect that fails proves that nothing did.
         """
-        while self.idle and self.idle[0].idle_since < since:
+        while self.idle and self.idle[0].idle_since < time:
             self.idle[0].close()
 
-    def lost(self, connection: HostConnection) -> None:
-        """Forget a connection."""
-        if connection in self.all:
-            self.all.discard(connection)
-            self.hosts.open -= 1
+    def remove(self, connection: HostConnection) -> None:
+        """Forget a connection that has closed."""
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self.pools.open -= 1
         if connection in self.idle:
             self.idle.remove(connection)
         self.forget_if_over()
 
     def forget_if_over(self) -> None:
         """Forget a host that is gone once nothing is left with it: hosts are replaced by new ones all day."""
-        if self.gone and not (self.all or self.connecting or self.waiting):
-            self.hosts.forget(self)
+        if self.gone and not (self.connections or self.connecting or self.waiting):
+            self.pools.forget(self)
 
 
 class HostPools:
-    """All hosts by the module's numbers, and the budget of connections to them."""
+    """The pools of all hosts by the module's numbers, and the limit on their connections."""
 
     def __init__(self, node: Node, idle_limit_ms: float, budget: int) -> None:
         self.node, self.budget = node, budget
-        self.idle_ms = idle_limit_ms * IDLE_PART
-        self.pools: dict[int, Pool] = {}
+        self.idle_limit_ms = idle_limit_ms * IDLE_LIMIT_PART
+        self.pools: dict[int, HostPool] = {}
         self.open = self.connecting = 0
-        self.parting = False  # whether connections close with their attempt
+        self.closing = False  # whether connections close when their attempt ends
         self.tasks: set[asyncio.Task[None]] = set()
-        self.forgotten: Callable[[str], None] = lambda name: None  # told of a host that is forgotten
+        self.on_forgotten: Callable[[str], None] = lambda name: None  # called with a forgotten host's name
 
-    def forget(self, pool: Pool) -> None:
+    def forget(self, pool: HostPool) -> None:
         """Drop all that is kept of a host."""
         if self.pools.get(pool.number) is pool:
-            if pool.sweeper is not None:
-                pool.sweeper.cancel()
+            if pool.idle_timer is not None:
+                pool.idle_timer.cancel()
             del self.pools[pool.number]
-            self.forgotten(pool.name)
+            self.on_forgotten(pool.name)
 
-    def pool(self, host: int, name: str) -> Pool:
-        """The pool of a host, made when it is first named."""
+    def add(self, host: int, name: str) -> None:
+        """Make the pool of a host that has none."""
         if host not in self.pools:
-            self.pools[host] = Pool(self, host, name)
-        return self.pools[host]
+            self.pools[host] = HostPool(self, host, name)
 
-    def listed(self, host: int, address: tuple[str, int], state: it.HostState, started: float) -> None:
-        """Follow the host list: connections to what a host was, or to one that leaves, are of no use."""
+    def update_host(self, host: int, address: tuple[str, int], state: it.HostState, started: float) -> None:
+        """Follow the host list: close the idle connections of a host that moved, restarted or leaves."""
         pool, ready = self.pools[host], state is it.HostState.READY
         if pool.address != address or started > pool.started or not ready:
             pool.address, pool.started = address, started
@@ -211,20 +213,20 @@
         pool.gone = state is it.HostState.GONE
         pool.forget_if_over()
 
-    def hand_back(self) -> None:
-        """Give the module what still waits for hosts that leave; it has heard of the list by then.
+    def return_waiting(self) -> None:
+        """Return what still waits for hosts that leave to the module, which has had the list by now.
 
-        When their leaving counted as told, and so how long the grace lasts, may be known to nobody here: the
-        agent may have had the news for a while. Nothing new goes to them at all.
+        Nobody here may know when their drain was announced, and so how long the grace lasts: the agent may
+        have had the news for a while. Nothing new goes to them at all.
         """
         for pool in [pool for pool in self.pools.values() if pool.leaving and pool.waiting]:
             while pool.waiting:
                 self.node.attempt_ended(pool.waiting.popleft(), it.Outcome.MOOT)
             pool.forget_if_over()
 
-    def part(self) -> None:
-        """Keep no connection at rest any more."""
-        self.parting = True
+    def close_idle(self) -> None:
+        """Close all idle connections, and from now on each one when its attempt ends."""
+        self.closing = True
         for pool in list(self.pools.values()):
             pool.close_idle()
 
@@ -235,21 +237,21 @@
         pool.start(attempt)
 
     def drop(self, attempt: Attempt) -> None:
-        """Stop waiting for an attempt: its connection closes, as a later answer on it would be its."""
+        """Give an attempt up. Its connection closes: a later answer would be taken for another attempt's."""
         connection, pool = attempt.connection, self.pools.get(attempt.host)
         if isinstance(connection, HostConnection):
             connection.close()
-            connection.pool.close_unheard(attempt.sent)
+            connection.pool.close_idle_before(attempt.sent)
         elif pool is not None and attempt in pool.waiting:
             pool.waiting.remove(attempt)
             pool.forget_if_over()
 
     def make_room(self) -> bool:
-        """Whether one more connection fits the budget, after closing an idle one if it must."""
+        """Whether the limit allows one more connection, after closing the oldest idle one if it must."""
         if self.open + self.connecting < self.budget:
             return True
-        resting = [p.idle[0] for p in self.pools.values() if p.idle]
-        if not resting:
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+        if not idle:
             return False
-        min(resting, key=lambda c: c.idle_since).close()
+        min(idle, key=lambda connection: connection.idle_since).close()
         return True
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -488,9 +488,9 @@
             _, up = await asyncio.get_running_loop().create_connection(
                 partial(HostConnection, pool, pool.address), *pool.address
             )
-            pool.all.add(up)
+            pool.connections.add(up)
             world.parts.pools.open += 1
-            pool.rest(up)
+            pool.release(up)
             up.idle_since -= 1000.0
 
 
@@ -556,10 +556,15 @@
                     )
                 )
             elif wait == "repeat":
-                next(c for pool in pools.pools.values() for c in pool.all if c.attempt).connection_lost(None)
+                next(
+                    c for pool in pools.pools.values() for c in pool.connections if c.attempt
+                ).connection_lost(None)
             for attempt in held:
                 start(attempt)
-            assert sum(c.attempt is not None for pool in pools.pools.values() for c in pool.all) <= before
+            assert (
+                sum(c.attempt is not None for pool in pools.pools.values() for c in pool.connections)
+                <= before
+            )
             while world.parts.clients.connections or any(p.waiting for p in pools.pools.values()):
                 await asyncio.sleep(0.005)
             for _ in range(20):  # what had been written would come
--- a/tests/test_node_crowd.py
+++ b/tests/test_node_crowd.py
@@ -189,7 +189,7 @@
             client = await world.client()
             for n in range(30):
                 client.ask(b"%d" % n)
-            while len([pool for pool in world.parts.pools.pools.values() if pool.all]) < 10:
+            while len([pool for pool in world.parts.pools.pools.values() if pool.connections]) < 10:
                 await asyncio.sleep(0.01)
             held.released.set()
             for _ in range(30):
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -390,7 +390,7 @@
             if outcome is it.Outcome.UNREACHABLE:
                 await soon(world.hosts[0].closed.get())
                 assert world.hosts[0].commands.empty() and not pools.open
-            assert not pools.connecting and pools.open == len(pools.pools[1].all)
+            assert not pools.connecting and pools.open == len(pools.pools[1].connections)
 
     run(main())
 
@@ -444,7 +444,7 @@
 def test_a_resting_connection_is_closed_by_us_first() -> None:
     async def main() -> None:
         async with World(lambda words: served()) as world:
-            world.parts.pools.idle_ms = 30
+            world.parts.pools.idle_limit_ms = 30
             client = await world.client()
             client.ask(b"1")
             assert await client.answer() == b"value"
@@ -480,7 +480,7 @@
             elif how == "end":
                 raw.shutdown(socket.SHUT_WR)
             else:
-                old.idle_since -= pools.idle_ms + 1.0
+                old.idle_since -= pools.idle_limit_ms + 1.0
             raw.close()
             pools.start(_attempt(world))  # no turn of the loop between
             assert old.closed
@@ -506,12 +506,12 @@
             client.ask(b"1")
             assert await client.answer() == b"answer to 1"
             peers.append(_peer_of(world))
-            (old,) = world.parts.pools.pools[1].all
+            (old,) = world.parts.pools.pools[1].connections
             client.ask(b"2")
             assert await client.answer() == b"answer to 2"
             while not old.closed:
                 await asyncio.sleep(0)
-            assert old not in world.parts.pools.pools[1].all
+            assert old not in world.parts.pools.pools[1].connections
 
     run(main())
 
@@ -527,7 +527,7 @@
             world.hosts[0].server.close()
             pools.start(_attempt(world))
             assert pools.connecting == 1 and len(pools.pools[1].idle) == 1
-            assert (await log.ended()).outcome is it.Outcome.OK and len(pools.pools[1].all) == 1
+            assert (await log.ended()).outcome is it.Outcome.OK and len(pools.pools[1].connections) == 1
 
     run(main())
 
@@ -561,10 +561,10 @@
             old, new = world.hosts
             pools.start(_attempt(world))
             await asyncio.sleep(0)  # one turn of the loop: the connect is under way
-            pools.listed(1, new.address, it.HostState.READY, 0.0)
+            pools.update_host(1, new.address, it.HostState.READY, 0.0)
             assert (await log.ended()).outcome is it.Outcome.OK
             assert old.commands.empty() and new.commands.qsize() == 1
-            pools.listed(1, new.address, it.HostState.READY, 7.0)
+            pools.update_host(1, new.address, it.HostState.READY, 7.0)
             await soon(new.closed.get())
             pools.start(_attempt(world))
             assert (await log.ended()).outcome is it.Outcome.OK
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -95,7 +95,7 @@
 
 def test_a_silent_or_rested_counter_connection_is_replaced(monkeypatch: Any) -> None:
     async def main() -> None:
-        monkeypatch.setattr(counter_module, "SILENT_TIMES", 0.0)
+        monkeypatch.setattr(counter_module, "SILENT_TIMEOUTS", 0.0)
         async with World(counter=lambda words: None if words[1] == b"1" else b"$1\r\n9\r\n") as world:
             counted = Counted(world)
             counted.counter.call(1, 1.0, 1000.0)
@@ -103,7 +103,7 @@
             counted.counter.call(2, 1.0, 1000.0)
             assert await counted.next() == (2, it.Outcome.OK, 9.0)
             assert world.counter.connected.qsize() == 2
-            monkeypatch.setattr(counter_module, "REST_MS", -1.0)
+            monkeypatch.setattr(counter_module, "IDLE_LIMIT_MS", -1.0)
             counted.counter.call(3, 1.0, 1000.0)
             assert await counted.next() == (3, it.Outcome.OK, 9.0)
             assert world.counter.connected.qsize() == 3
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -130,8 +130,8 @@
             writer.write(served(value))
             while not connection.blocked:
                 await asyncio.sleep(0)
-            (host,) = world.parts.pools.pools[1].all
-            assert host.held_up and connection.transport.get_write_buffer_size() < 1 << 19
+            (host,) = world.parts.pools.pools[1].connections
+            assert host.reading_paused and connection.transport.get_write_buffer_size() < 1 << 19
             assert await client.answer() == value
             raw.server.close()
 
@@ -153,7 +153,7 @@
             (connection,) = world.parts.clients.connections
             while not connection.paused:
                 await asyncio.sleep(0)
-            (host,) = pool.all
+            (host,) = pool.connections
             assert host.transport.get_write_buffer_size() < 1 << 20
             reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
             assert (await _command(reader))[4] == body
@@ -300,7 +300,7 @@
                 if up:
                     await soon(reader.read())  # ends
                 else:
-                    while world.parts.pools.pools[1].all:
+                    while world.parts.pools.pools[1].connections:
                         await asyncio.sleep(0)
             assert not world.parts.node.requests
             raw.server.close()
