Take a list without a length when its connection ends, and not at a reset

An answer over HTTP may have no length; its body then ends with the connection. The discovery client took every end of the connection before a message was complete for a failure, so such an answer was never taken: _get() in rainturn/node/discovery.py raised ConnectionError at the end of the stream, and the parser does not report a body that only the end of the connection completes. A service that always answers so would never have told anything.

The response now notes whether it has headers and whether they name a length or chunks. An orderly end completes a body without a length; a reset, or an end in any other place, still fails the call.

tests/test_standing_lists.py (new): lists without a length, cut in head, body or chunk, in single bytes, indented, without an end; watches that end or are reset instead of telling; a whole list that leaves out a host with an open request; a drain after a reload whose address fails first.

--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -61,8 +61,16 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.has_headers = self.has_length = False
         self.done = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self.has_length = True
+
+    def on_headers_complete(self) -> None:
+        self.has_headers = True
+
     def on_body(self, body: bytes) -> None:
         self.body += body
         if len(self.body) > MAX_BODY:
@@ -71,6 +79,12 @@
     def on_message_complete(self) -> None:
         self.done = True
 
+    def connection_ended(self) -> None:
+        """An orderly end of the connection completes a body without a length, and no other."""
+        if not self.has_headers or self.has_length:
+            raise ConnectionError("discovery closed the connection")
+        self.done = True
+
 
 class Discovery:
     """One task that keeps a watch open and hands on what it tells."""
@@ -229,9 +243,10 @@
             parser = httptools.HttpResponseParser(response)
             while not response.done:
                 data = await reader.read(1 << 16)
-                if not data:
-                    raise ConnectionError("discovery closed the connection")
-                parser.feed_data(data)
+                if data:
+                    parser.feed_data(data)
+                else:
+                    response.connection_ended()
         # A connection for each call: what comes late or twice is never taken for the next call's answer.
         self._hang_up()
         if parser.get_status_code() != 200:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import errno
 import json
 import re
@@ -133,12 +134,19 @@
             writer.transport.abort()
 
 
+class End(enum.Enum):
+    """How a connection ends behind the bytes of a raw answer."""
+
+    CLOSE = enum.auto()
+    RESET = enum.auto()
+
+
 class Discovery:
     """Plays the agent: each call waits for the next answer that the test puts."""
 
     def __init__(self) -> None:
         self.calls: asyncio.Queue[str] = asyncio.Queue()
-        self.answers: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.answers: asyncio.Queue[Any] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> Discovery:
@@ -150,6 +158,10 @@
         body = news if isinstance(news, bytes) else json.dumps(news).encode()
         self.answers.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
+    def put_raw(self, *parts: bytes | End) -> None:
+        """Answer a call with these bytes, each part written by itself; an `End` ends the connection."""
+        self.answers.put_nowait(parts)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
         try:
@@ -157,8 +169,15 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.calls.put_nowait(head.split()[1].decode())
                 answer = await self.answers.get()
-                if answer is not None:
-                    writer.write(answer)
+                if answer is None:
+                    continue
+                for part in answer if isinstance(answer, tuple) else (answer,):
+                    if part is End.RESET:
+                        return reset(writer)
+                    if part is End.CLOSE:
+                        return writer.close()
+                    writer.write(part)
+                    await asyncio.sleep(0)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
 
--- /dev/null
+++ b/tests/test_standing_lists.py
@@ -0,0 +1,211 @@
+"""Lists in odd forms, cut, silent or whole: what is held stays in force until the next good answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from rainturn.node import discovery as discovery_module
+from tests.sockets import LONG, Discovery, End, Handler, World, entry, run, served, soon
+
+NO_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
+
+
+def _list(seq: int, *hosts: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+def _body(news: dict[str, Any], indent: int | None = None) -> bytes:
+    return json.dumps(news, indent=indent).encode()
+
+
+def _sized(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def _chunked(body: bytes) -> bytes:
+    pieces = [body[at : at + 7] for at in range(0, len(body), 7)]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n" % chunks
+
+
+@contextlib.asynccontextmanager
+async def _watching(*handlers: Handler) -> AsyncIterator[tuple[World, Discovery]]:
+    """A gateway that holds list 5, with all its hosts, and has an open watch from there on."""
+    async with World(*handlers) as world:
+        agent, discovery = await Discovery().start(), world.parts.discovery
+        discovery.patience_ms = LONG * 1000  # no test here depends on how fast an answer comes
+        discovery.move(agent.address)
+        agent.put(_list(5, *_entries(world)))
+        assert await soon(agent.calls.get()) == "/discovery/hosts"
+        await _asks_from(agent, 5)
+        try:
+            yield world, agent
+        finally:
+            await discovery.stop()
+            agent.server.close()
+
+
+def _entries(world: World) -> list[dict[str, Any]]:
+    return [entry(f"h{n}", host.dial) for n, host in enumerate(world.hosts)]
+
+
+async def _asks_from(agent: Discovery, seq: int) -> None:
+    """The next call is a watch from this version on."""
+    assert f"index={seq}&" in await soon(agent.calls.get())
+
+
+async def _known(world: World) -> tuple[int, int]:
+    """How many hosts are listed, and how many of these get no new requests."""
+    figures = await world.figures()
+    return figures["known_hosts"], figures["skipped_hosts"]
+
+
+def test_an_answer_without_a_length_ends_with_its_connection_and_not_with_a_reset() -> None:
+    async def main() -> None:
+        async with _watching(lambda words: served(), lambda words: served()) as (world, agent):
+            drains = entry("h0", world.hosts[0].dial, health="terminating")
+            body = _body(_list(6, drains, whole=False))
+            for ends in ((NO_LENGTH, body, End.RESET), (NO_LENGTH, body[:-9], End.CLOSE)):
+                agent.put_raw(*ends)
+                await _asks_from(agent, 5)
+                assert await _known(world) == (2, 0)
+            agent.put_raw(NO_LENGTH, body, End.CLOSE)
+            await _asks_from(agent, 6)
+            assert await _known(world) == (2, 1)
+
+    run(main())
+
+
+@pytest.mark.parametrize("cut", ["head", "body", "chunk", "nothing"])
+@pytest.mark.parametrize("end", list(End))
+def test_a_list_cut_in_the_middle_changes_nothing_and_is_asked_for_again(cut: str, end: End) -> None:
+    async def main() -> None:
+        async with _watching(lambda words: served()) as (world, agent):
+            body = _body(_list(6, entry("new", world.hosts[0].dial)), indent=2)
+            raw = {
+                "head": _sized(body)[:30],
+                "body": _sized(body)[:-20],
+                "chunk": _chunked(body)[:-25],
+                "nothing": b"",
+            }[cut]
+            agent.put_raw(raw, end)
+            await _asks_from(agent, 5)
+            client = await world.client()
+            client.ask(b"1")  # the held list stays in force
+            assert await client.answer() == b"value" and await _known(world) == (1, 0)
+            agent.put_raw(_sized(body))
+            await _asks_from(agent, 6)
+            assert await _known(world) == (1, 0) and set(world.parts.discovery.numbers) == {"new"}
+
+    run(main())
+
+
+@pytest.mark.parametrize("form", ["sized", "chunked", "no length"])
+def test_a_whole_list_may_come_indented_and_in_single_bytes(form: str) -> None:
+    async def main() -> None:
+        async with _watching(lambda words: served(), lambda words: served()) as (world, agent):
+            body = _body(_list(6, entry("h1", world.hosts[1].dial)), indent=4)
+            raw = {"sized": _sized(body), "chunked": _chunked(body), "no length": NO_LENGTH + body}[form]
+            agent.put_raw(*(raw[n : n + 1] for n in range(len(raw))), End.CLOSE)
+            await _asks_from(agent, 6)
+            assert await _known(world) == (1, 0)
+
+    run(main())
+
+
+def test_an_answer_without_an_end_is_given_up_and_leaves_no_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery_module, "MAX_BODY", 10_000)
+
+    async def main() -> None:
+        async with _watching(lambda words: served()) as (world, agent):
+            for head in (NO_LENGTH, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2aaa\r\n"):
+                agent.put_raw(head, b" " * 10_400)
+                await _asks_from(agent, 5)
+            agent.put(_list(6, *_entries(world)))
+            await _asks_from(agent, 6)
+            for writer in agent.writers[:-1]:  # all but the open watch
+                await soon(writer.wait_closed())
+
+    run(main())
+
+
+@pytest.mark.parametrize("end", list(End))
+def test_a_watch_that_ends_instead_of_telling_is_followed_by_a_call_that_tells(end: End) -> None:
+    async def main() -> None:
+        async with _watching(lambda words: served(), lambda words: served()) as (world, agent):
+            agent.put_raw(end)
+            assert await soon(agent.calls.get()) == "/discovery/hosts?index=5&wait=1"
+            agent.put(_list(8, entry("h1", world.hosts[1].dial)))  # whole, and without the host that drains
+            await _asks_from(agent, 8)
+            assert await _known(world) == (1, 0)
+
+    run(main())
+
+
+def test_a_host_that_a_whole_list_leaves_out_gets_nothing_new_and_its_open_request_is_served() -> None:
+    async def main() -> None:
+        release, left_out = asyncio.Event(), asyncio.Queue[int]()
+
+        def handler(number: int) -> Handler:
+            async def handle(words: list[bytes]) -> bytes:
+                if words[2] == b"open":
+                    left_out.put_nowait(number)
+                    await release.wait()
+                return served(b"%d" % number)
+
+            return handle
+
+        async with _watching(handler(0), handler(1)) as (world, agent):
+            client, other = await world.client(), await world.client()
+            client.ask(b"open")
+            left = await soon(left_out.get())
+            agent.put(_list(6, _entries(world)[1 - left]))
+            await _asks_from(agent, 6)
+            for n in range(20):
+                other.ask(b"%d" % n)
+                assert await other.answer() == b"%d" % (1 - left)
+            release.set()
+            assert await client.answer() == b"%d" % left
+            await soon(world.hosts[left].closed.get())
+            assert world.hosts[left].commands.qsize() == 1 and len(world.parts.pools.pools) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("first", ["answers", "ends", "resets"])
+def test_a_drain_after_a_reload_is_heard_of_from_the_new_address_only(first: str) -> None:
+    """The new address numbers its versions anew and may fail at first."""
+
+    async def main() -> None:
+        async with _watching(lambda words: served(), lambda words: served(b"stays")) as (world, agent):
+            moved = await Discovery().start()
+            if first != "answers":
+                moved.put_raw(End.CLOSE if first == "ends" else End.RESET)
+            world.parts.discovery.move(moved.address)
+            agent.put(_list(9, entry("old", "127.0.0.1:1")))  # too late
+            if first != "answers":
+                assert await soon(moved.calls.get()) == "/discovery/hosts"
+            assert await soon(moved.calls.get()) == "/discovery/hosts"
+            client = await world.client()
+            client.ask(b"1")  # the hosts stay as told meanwhile
+            assert await client.answer() in (b"value", b"stays")
+            moved.put(_list(2, *_entries(world)))
+            await _asks_from(moved, 2)
+            moved.put(_list(3, entry("h0", world.hosts[0].dial, health="terminating"), whole=False))
+            await _asks_from(moved, 3)
+            before = world.hosts[0].commands.qsize()
+            for n in range(20):
+                client.ask(b"%d" % n)
+                assert await client.answer() == b"stays"
+            assert world.hosts[0].commands.qsize() == before and await _known(world) == (2, 1)
+            moved.server.close()
+
+    run(main())
