Pass over one list entry of a wrong type without dropping the whole list

An entry whose `dial` is not text ended in an AttributeError, one whose `share` or `born_ms` is too large for a float in an OverflowError. apply() in rainturn/node/discovery.py caught neither, so the whole list was dropped, at each call again, and such an entry in the known list ended the process at its start. Both count now as any other bad entry: one logged line, and the others are taken.

Test: five of the nine entries of test_an_entry_that_cannot_be_read_takes_no_other_with_it failed before.

--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -153,7 +153,7 @@
         for source in news["hosts"]:
             try:
                 entries.append(self._entry(source))
-            except (KeyError, TypeError, ValueError) as error:
+            except (ArithmeticError, AttributeError, KeyError, TypeError, ValueError) as error:
                 log.warning("discovery: entry passed over: %r", error)
         if whole:
             named = {entry.host for entry, _ in entries}
--- a/tests/test_standing_lists.py
+++ b/tests/test_standing_lists.py
@@ -209,3 +209,30 @@
             moved.server.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"dial": 7},
+        {"dial": None},
+        {"dial": ["127.0.0.1:1"]},
+        {"share": 10**400},
+        {"share": None},
+        {"born_ms": -(10**400)},
+        {"born_ms": "x"},
+        {"health": ["in_service"]},
+        {"site": {}},
+    ],
+)
+def test_an_entry_that_cannot_be_read_takes_no_other_with_it(bad: dict[str, Any]) -> None:
+    async def main() -> None:
+        async with _watching(lambda words: served()) as (world, agent):
+            news = _list(6, entry("bad", "127.0.0.1:1") | bad, *_entries(world))
+            agent.put(news)
+            await _asks_from(agent, 6)
+            assert await _known(world) == (1, 0)
+            world.parts.discovery.apply(news, cached=True)  # as at a start
+            assert await _known(world) == (1, 0)
+
+    run(main())
