End an attempt at once where its host's address can be no host name

A name with an empty label, or one of over 63 bytes, ends in a UnicodeError, a ValueError, in create_connection(). The connect in rainturn/node/host_pools.py caught OSError only: its task died, and the attempt went on waiting for a connection until the deadline of its request. It now ends as unreachable, which makes the host suspect, and the request goes elsewhere.

Test: both cases of test_an_address_that_names_no_host_is_unreachable_at_once (new file tests/test_standing_hosts.py) fail without this.

--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -102,7 +102,7 @@
                 _, connection = await node.loop.create_connection(
                     lambda: HostConnection(self, address), *address
                 )
-        except OSError:  # a time-out is one
+        except (OSError, ValueError):  # a time-out is the first, a name that can be no host the second
             pass
         finally:
             self.connecting -= 1
