Follow the host list without a walk over all pools

Cause: three operations visited the pool of every host. After each change of the list all pools were asked whether attempts wait for a host that leaves; a new connection at the connection limit listed all pools with an idle one; and every pool, used or not, held two deques and a set of its own.

Change: pools in which attempts wait for a host that leaves register themselves, and only they are visited; idle connections of all pools stand in one ordered map, the oldest first, whose first one makes room; a pool has __slots__, and its containers are made with its first attempt.

--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
+from typing import cast
 
 from rainturn import interface as it
 from rainturn.node.gateway import Attempt, Node
@@ -12,24 +13,48 @@
 
 SETTLE_MS = 10.0  # idle time before a connection is used again: a host's second answer comes some ms late
 IDLE_LIMIT_PART = 0.7  # of the hosts' own idle limit: a request must not cross their close
+NO_ADDRESS = ("", 0)
 
 
 class HostPool:
-    """The connections to one host and the attempts that wait for one."""
+    """The connections to one host and the attempts that wait for one.
+
+    One gateway sends to a few of many hosts: until the first attempt for a host its pool is as small as it
+    can be, and its containers are one shared, immutable, empty value.
+    """
+
+    __slots__ = (
+        "pools",
+        "number",
+        "name",
+        "address",
+        "started",
+        "leaving",
+        "gone",
+        "idle",
+        "connections",
+        "connecting",
+        "waiting",
+        "idle_timer",
+        "settle_timer",
+    )
 
     def __init__(self, pools: HostPools, number: int, name: str) -> None:
         self.pools, self.number, self.name = pools, number, name
-        self.address, self.started = ("", 0), 0.0
+        self.address, self.started = NO_ADDRESS, 0.0
         self.leaving = False  # whether the list says that the host drains or is gone
         self.gone = False
-        self.idle: deque[HostConnection] = deque()  # most recently used last
-        self.connections: set[HostConnection] = set()
+        self.idle = cast("deque[HostConnection]", ())  # most recently used last
+        self.connections = cast("set[HostConnection]", ())
         self.connecting = 0
-        self.waiting: deque[Attempt] = deque()
+        self.waiting = cast("deque[Attempt]", ())
         self.idle_timer: asyncio.TimerHandle | None = None  # for the close of the oldest idle connection
-        self.settle_timer: asyncio.TimerHandle | None = (
-            None  # set while an attempt waits for SETTLE_MS to pass
-        )
+        self.settle_timer: asyncio.TimerHandle | None = None  # set while attempts wait for SETTLE_MS to pass
+
+    def _allocate(self) -> None:
+        """Give the pool containers of its own."""
+        if not isinstance(self.connections, set):
+            self.idle, self.connections, self.waiting = deque(), set(), deque()
 
     @property
     def node(self) -> Node:
@@ -43,7 +68,10 @@
 
     def start(self, attempt: Attempt) -> None:
         """Use an idle connection, or open one."""
+        self._allocate()
         self.waiting.append(attempt)
+        if self.leaving:
+            self.pools.to_return.add(self)
         self._serve_waiting()
 
     def _serve_waiting(self) -> None:
@@ -59,7 +87,7 @@
             found = next((c for c in reversed(self.idle) if now - c.idle_since >= SETTLE_MS), None)
             if found is None:
                 return
-            self.idle.remove(found)
+            self._remove_idle(found)
             if not found.usable(now):
                 found.close()
             elif not self._begin(found, self.waiting.popleft()):
@@ -108,9 +136,7 @@
             self.connecting -= 1
             self.pools.connecting -= 1
         if connection is not None and not connection.closed:
-            self.connections.add(connection)
-            self.pools.open += 1
-            return self._connected(connection)
+            return self.add_connection(connection)
         self._use_idle()
         if self.connecting < len(self.waiting):
             if not self.idle:
@@ -119,8 +145,11 @@
                 self.settle_timer = node.loop.call_later(SETTLE_MS / 1000, self._on_settle_timer)
         self.forget_if_over()
 
-    def _connected(self, connection: HostConnection) -> None:
+    def add_connection(self, connection: HostConnection) -> None:
         """Give a new connection to the attempt that has waited longest, or keep it as an idle one."""
+        self._allocate()
+        self.connections.add(connection)
+        self.pools.open += 1
         if connection.address != self.address:
             # Guards against a connect that was under way when the list moved the host.
             connection.close()
@@ -135,6 +164,7 @@
         if self.leaving or connection.closed or self.pools.closing:
             return connection.close()
         self.idle.append(connection)
+        self.pools.idle[connection] = None
         if self.idle_timer is None:
             self.idle_timer = self.node.loop.call_later(self.idle_limit_ms / 1000, self._close_expired)
 
@@ -168,10 +198,14 @@
         if connection in self.connections:
             self.connections.discard(connection)
             self.pools.open -= 1
-        if connection in self.idle:
-            self.idle.remove(connection)
+        if connection in self.pools.idle:
+            self._remove_idle(connection)
         self.forget_if_over()
 
+    def _remove_idle(self, connection: HostConnection) -> None:
+        self.idle.remove(connection)
+        del self.pools.idle[connection]
+
     def forget_if_over(self) -> None:
         """Forget a host that is gone once nothing is left with it: hosts are replaced by new ones all day."""
         if self.gone and not (self.connections or self.connecting or self.waiting):
@@ -185,6 +219,8 @@
         self.node, self.budget = node, budget
         self.idle_limit_ms = idle_limit_ms * IDLE_LIMIT_PART
         self.pools: dict[int, HostPool] = {}
+        self.idle: OrderedDict[HostConnection, None] = OrderedDict()  # of all pools, the oldest first
+        self.to_return: set[HostPool] = set()  # those in which attempts wait for a host that leaves
         self.open = self.connecting = 0
         self.closing = False  # whether connections close when their attempt ends
         self.tasks: set[asyncio.Task[None]] = set()
@@ -211,6 +247,8 @@
             pool.close_idle()
         pool.leaving = not ready
         pool.gone = state is it.HostState.GONE
+        if pool.leaving and pool.waiting:
+            self.to_return.add(pool)
         pool.forget_if_over()
 
     def return_waiting(self) -> None:
@@ -219,16 +257,18 @@
         Nobody here may know when their drain was announced, and so how long the grace lasts: the agent may
         have had the news for a while. Nothing new goes to them at all.
         """
-        for pool in [pool for pool in self.pools.values() if pool.leaving and pool.waiting]:
-            while pool.waiting:
+        pools = sorted(self.to_return, key=lambda pool: pool.number)
+        self.to_return.clear()
+        for pool in pools:
+            while pool.leaving and pool.waiting:
                 self.node.attempt_ended(pool.waiting.popleft(), it.Outcome.MOOT)
             pool.forget_if_over()
 
     def close_idle(self) -> None:
         """Close all idle connections, and from now on each one when its attempt ends."""
         self.closing = True
-        for pool in list(self.pools.values()):
-            pool.close_idle()
+        while self.idle:
+            next(iter(self.idle)).close()
 
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt."""
@@ -250,8 +290,7 @@
         """Whether the limit allows one more connection, after closing the oldest idle one if it must."""
         if self.open + self.connecting < self.budget:
             return True
-        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
-        if not idle:
+        if not self.idle:
             return False
-        min(idle, key=lambda connection: connection.idle_since).close()
+        next(iter(self.idle)).close()
         return True
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -491,9 +491,7 @@
             _, up = await asyncio.get_running_loop().create_connection(
                 partial(HostConnection, pool, pool.address), *pool.address
             )
-            pool.connections.add(up)
-            world.parts.pools.open += 1
-            pool.release(up)
+            pool.add_connection(up)
             up.idle_since -= 1000.0
 
 
