--- /dev/null
+++ b/rainturn/emulator/commands.py
@@ -0,0 +1,168 @@
+"""Commands that the scale run gives to the roles of its processes, and their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from rainturn.emulator.traffic import Traffic
+
+
+@dataclass(frozen=True)
+class Read:
+    """Ask for a role's reading."""
+
+
+@dataclass(frozen=True)
+class ServiceReading:
+    """A stand-in's processor time since its start, in s, and what passed at each of its addresses."""
+
+    cpu_s: float
+    traffic: dict[str, Traffic]
+    held: int  # hosts in the list, or names that the counter holds
+
+
+# Discovery.
+
+
+@dataclass(frozen=True)
+class Listen:
+    """Listen on one more address; the answer is that address."""
+
+    label: str
+
+
+@dataclass(frozen=True)
+class SetList:
+    """Begin anew with so many hosts at these addresses."""
+
+    hosts: int
+    dials: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ChangeOne:
+    """Change single hosts, `count` times, each once `watchers` callers have the change before it.
+
+    With `every_s` each comes so long after the one before instead, whoever has that.
+    """
+
+    count: int
+    watchers: int = 0
+    every_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Zone:
+    """A zone of a part of all hosts is lost, or returns cold: as one version, or a version a host.
+
+    These come each once `watchers` callers have the one before, or evenly over `over_s`.
+    """
+
+    part: float
+    lost: bool
+    as_one: bool = True
+    watchers: int = 0
+    over_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Slow:
+    """Take so long for each answer, one after another; 0: none."""
+
+    answer_ms: float
+
+
+@dataclass(frozen=True)
+class Changed:
+    """The version after a change, how many versions it took, and the monotonic time of the first, in s."""
+
+    version: int
+    versions: int
+    at: float
+
+
+# Hollow gateways and clients.
+
+
+@dataclass(frozen=True)
+class Join:
+    """Start gateways; `Joined` comes once all have a host list."""
+
+    numbers: tuple[int, ...]
+    within_s: float = 60.0
+
+
+@dataclass(frozen=True)
+class Joined:
+    """How long gateways took until all had a list, and the processor time for that, in s."""
+
+    took_s: float
+    cpu_s: float
+
+
+@dataclass(frozen=True)
+class WatchStalls:
+    """Begin to watch for stalls, or end that: the answer is then the longest, in ms of processor time."""
+
+    on: bool
+
+
+@dataclass(frozen=True)
+class Leave:
+    """End gateways."""
+
+    numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class AwaitVersion:
+    """Wait until all gateways have a version of the list; the answer holds the time for each, in s."""
+
+    version: int
+    since: float  # monotonic, s
+    within_s: float
+
+
+@dataclass(frozen=True)
+class LoadOn:
+    """Begin to draw the fleet's requests; dry: draw and make them, and give them to no gateway."""
+
+    requests_per_second: float
+    tenants: int
+    gateways: int
+    seed: int
+    dry: bool = False
+
+
+@dataclass(frozen=True)
+class LoadOff:
+    """Draw no more."""
+
+
+@dataclass(frozen=True)
+class HollowReading:
+    """A hollow process: processor time since its start, in s, its requests and how they ended."""
+
+    cpu_s: float
+    requests: int
+    ended_as: dict[str, int]
+    peak_mb: float  # most memory that the process has held at once, in MB (2^20 bytes)
+
+
+@dataclass(frozen=True)
+class AwaitReady:
+    """Wait until gateways at these addresses say that clients may come; the answer is whether all do."""
+
+    addresses: dict[int, tuple[str, int]] = field(default_factory=dict)
+    within_s: float = 30.0
+
+
+@dataclass(frozen=True)
+class ClientReading:
+    """What clients of real gateways saw: added time in ms over all, and the endings."""
+
+    requests: int
+    ended_as: dict[str, int]
+    added_p50_ms: float
+    added_p99_ms: float
+    added_most_ms: float
--- /dev/null
+++ b/rainturn/emulator/gateway_roles.py
@@ -0,0 +1,203 @@
+"""Gateways and their clients as roles of processes."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import re
+import time
+from pathlib import Path
+from typing import Any
+
+from rainturn.emulator.client_load import GatewayFront, says_pong
+from rainturn.emulator.commands import (
+    AwaitReady,
+    AwaitVersion,
+    ClientReading,
+    HollowReading,
+    Join,
+    Joined,
+    Leave,
+    LoadOff,
+    LoadOn,
+    WatchStalls,
+)
+from rainturn.emulator.hollow import Addresses, HollowGateway
+from rainturn.emulator.load import OpenLoop
+from rainturn.emulator.stalls import StallWatch
+from rainturn.emulator.workload import Draw, Tenants
+
+POLL_S = 0.02  # how often a hollow process looks whether its gateways have a version
+
+
+def peak_memory_mb() -> float:
+    """The most memory that this process has held at once, in MB; `ru_maxrss` also counts its parent's."""
+    status = Path("/proc/self/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    return int(found[1]) / 1024 if found else 0.0
+
+
+class HollowRole:
+    """Plays many hollow gateways."""
+
+    def __init__(self, gateways: int, addresses: Addresses, seed: int) -> None:
+        self.gateways_in_fleet, self.addresses, self.seed = gateways, addresses, seed
+        self.gateways: dict[int, HollowGateway] = {}
+        self.requests = 0
+        self.load: OpenLoop | None = None
+        self.stalls = StallWatch()
+
+    async def start(self) -> None:
+        """No gateway yet."""
+
+    async def handle(self, command: Any) -> Any:
+        """Carry out a command."""
+        if isinstance(command, Join):
+            return await self._join(command)
+        if isinstance(command, Leave):
+            for number in command.numbers:
+                await self.gateways.pop(number).stop()
+            return None
+        if isinstance(command, WatchStalls):
+            return self.stalls.start() if command.on else self.stalls.stop()
+        if isinstance(command, AwaitVersion):
+            return await self._await_version(command)
+        if isinstance(command, LoadOn):
+            return self._load_on(command)
+        if isinstance(command, LoadOff):
+            if self.load is not None:
+                self.load.stop()
+            return None
+        ended: dict[str, int] = {}
+        for gateway in self.gateways.values():
+            for ending, count in gateway.client.ended_as.items():
+                ended[ending] = ended.get(ending, 0) + count
+        return HollowReading(time.process_time(), self.requests, ended, peak_memory_mb())
+
+    async def _join(self, command: Join) -> Joined:
+        began, used = time.monotonic(), time.process_time()
+        for number in command.numbers:
+            seed = self.seed * 1_000_003 + number
+            gateway = HollowGateway(number, self.gateways_in_fleet, self.addresses, seed)
+            self.gateways[number] = gateway
+            gateway.start()
+        async with asyncio.timeout(command.within_s):
+            while not all(self.gateways[number].version for number in command.numbers):
+                await asyncio.sleep(POLL_S)
+        joined = Joined(time.monotonic() - began, time.process_time() - used)
+        gc.collect()
+        gc.freeze()  # as a gateway does once it has started
+        return joined
+
+    async def _await_version(self, command: AwaitVersion) -> list[float]:
+        waiting = set(self.gateways)
+        times: list[float] = []
+        until = time.monotonic() + command.within_s
+        while waiting and time.monotonic() < until:
+            reached = {n for n in waiting if self.gateways[n].version >= command.version}
+            times += [time.monotonic() - command.since] * len(reached)
+            waiting -= reached
+            await asyncio.sleep(POLL_S if waiting else 0)
+        return times
+
+    def _load_on(self, command: LoadOn) -> None:
+        tenants = Tenants(command.tenants, command.gateways, command.requests_per_second, command.seed)
+        take = self._take_dry if command.dry else self._take
+        self.load = OpenLoop(tenants, command.requests_per_second, command.seed + self.seed, take)
+        self.load.start()
+
+    def _take(self, draw: Draw) -> None:
+        gateway = self.gateways.get(draw.gateway)
+        if gateway is not None:
+            self.requests += 1
+            gateway.request(draw)
+
+    def _take_dry(self, draw: Draw) -> None:
+        gateway = self.gateways.get(draw.gateway)
+        if gateway is not None:
+            self.requests += 1
+            gateway.make(draw)
+
+    async def stop(self) -> None:
+        """End all gateways."""
+        if self.load is not None:
+            self.load.stop()
+        self.stalls.stop()
+        for gateway in self.gateways.values():
+            await gateway.stop()
+
+
+class ClientRole:
+    """Plays the clients of real gateways."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.fronts: dict[int, GatewayFront] = {}
+        self.requests = 0
+        self.load: OpenLoop | None = None
+
+    async def start(self) -> None:
+        """No gateway yet."""
+
+    async def handle(self, command: Any) -> Any:
+        """Carry out a command."""
+        if isinstance(command, AwaitReady):
+            return await self._await_ready(command)
+        if isinstance(command, LoadOn):
+            tenants = Tenants(command.tenants, command.gateways, command.requests_per_second, command.seed)
+            self.load = OpenLoop(tenants, command.requests_per_second, command.seed + self.seed, self._take)
+            return self.load.start()
+        if isinstance(command, LoadOff):
+            if self.load is not None:
+                self.load.stop()
+            return None
+        return self._read()
+
+    async def _await_ready(self, command: AwaitReady) -> bool:
+        until = time.monotonic() + command.within_s
+        waiting = dict(command.addresses)
+        while waiting and time.monotonic() < until:
+            for number, address in list(waiting.items()):
+                if await says_pong(address):
+                    del waiting[number]
+            await asyncio.sleep(POLL_S)
+        self.fronts = {number: GatewayFront(address) for number, address in command.addresses.items()}
+        return not waiting
+
+    def _take(self, draw: Draw) -> None:
+        front = self.fronts.get(draw.gateway)
+        if front is not None:
+            self.requests += 1
+            front.request(self.requests, draw)
+
+    def _read(self) -> ClientReading:
+        """The figures since the last reading."""
+        added = None
+        ended: dict[str, int] = {}
+        for front in self.fronts.values():
+            for ending, count in front.ended_as.items():
+                ended[ending] = ended.get(ending, 0) + count
+            if added is None:
+                added = front.added_us
+            else:
+                added.add(front.added_us)
+            front.ended_as.clear()
+        if added is None or not added.get_total_count():
+            return ClientReading(self.requests, ended, 0.0, 0.0, 0.0)
+        reading = ClientReading(
+            self.requests,
+            ended,
+            added.get_value_at_percentile(50) / 1000,
+            added.get_value_at_percentile(99) / 1000,
+            added.get_max_value() / 1000,
+        )
+        for front in self.fronts.values():
+            front.added_us.reset()
+        return reading
+
+    async def stop(self) -> None:
+        """End all connections."""
+        if self.load is not None:
+            self.load.stop()
+        for front in self.fronts.values():
+            front.close()
--- /dev/null
+++ b/tests/test_emulator_services.py
@@ -0,0 +1,300 @@
+"""The emulator's stand-ins against the gateway's own clients, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import Any
+
+import pytest
+
+from rainturn import interface as it
+from rainturn.emulator.counter_service import BUSY, CounterService, Numbers
+from rainturn.emulator.discovery_service import GONE, DiscoveryService, HostDirectory
+from rainturn.emulator.hollow import Addresses, HollowGateway, request_words
+from rainturn.emulator.host_service import HostService
+from rainturn.emulator.workload import (
+    CLASSES,
+    HostLine,
+    Tenants,
+    host_lines,
+    wire_settings,
+    zone_names,
+)
+from rainturn.node.counter import Counter
+from rainturn.node.discovery import Discovery
+from rainturn.node.gateway import Clock, Node, Request
+from rainturn.node.host_pools import HostPools
+from rainturn.node.resp import pack
+from rainturn.settings import names_from, settings_from
+from tests.sockets import Client, run, soon
+
+DIALS = ("127.0.0.1:9",)
+
+
+async def until(condition: Any) -> None:
+    async def poll() -> None:
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    await soon(poll())
+
+
+def test_settings_are_those_that_a_gateway_reads() -> None:
+    settings = settings_from(wire_settings(3, 40))
+    names = names_from(wire_settings(3, 40))
+    assert (settings.gateway, settings.gateways, settings.counter) == (3, 40, True)
+    assert names.zones == tuple(zone_names()) and len(names.classes) == len(CLASSES)
+
+
+def test_a_directory_tells_what_changed_since_a_version() -> None:
+    lines = host_lines(4, DIALS)
+    directory = HostDirectory(lines)
+    directory.change([lines[0].with_health("terminating")])
+    directory.change([lines[1].with_health(GONE), lines[0]])
+    first, second = directory.since(1), directory.since(2)
+    assert first.startswith(b'{"seq":3,"whole":false') and first.count(b'"host"') == 2
+    assert second.count(b'"host"') == 2 and b"terminated" in second and b"terminating" not in second
+    assert b'"whole":true' in directory.since(7)  # a version that never was
+    assert directory.whole().count(b'"host"') == 3
+    assert directory.is_whole(directory.whole()) and not directory.is_whole(second)
+
+
+def test_discovery_tells_the_real_client_the_list_and_each_change() -> None:
+    async def main() -> None:
+        lines = host_lines(30, DIALS)
+        service = DiscoveryService(lines)
+        settings = settings_from(wire_settings(0, 1))
+        node = Node(settings, 1, Clock(), asyncio.get_running_loop())
+        pools = HostPools(node, 30_000.0, 0)
+        node.hosts = pools
+        address = await service.listen("real")
+        client = Discovery(node, pools, tuple(zone_names()), address, 1)
+        client.start()
+        await until(lambda: client.seq == 1)
+        assert node.module.listed() == 30
+        await soon(service.watched(1))
+        service.change([lines[0].with_health("terminating")])
+        await soon(service.watched(1))
+        assert client.seq == 2 and node.module.skipped() == 1
+        service.change([line.with_health(GONE) for line in lines[1:11]])
+        await soon(service.watched(1))
+        assert client.seq == 3 and node.module.listed() == 20
+        traffic = service.traffic["real"]
+        assert traffic.whole_lists == 1 and traffic.messages_in >= 4
+        await client.stop()
+        service.close()
+
+    run(main())
+
+
+def test_discovery_holds_a_watch_until_its_wait_is_over_and_answers_what_is_no_call() -> None:
+    async def main() -> None:
+        service = DiscoveryService(host_lines(2, DIALS))
+        address = await service.listen("real")
+        for path, status, part in (
+            ("/discovery/hosts?index=1&wait=20", b"200", b'"hosts":[]'),
+            ("/discovery/hosts?index=1", b"200", b'"hosts":[]'),
+            ("/discovery/hosts?index=x", b"400", b""),
+            ("/elsewhere", b"404", b""),
+        ):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            head = await soon(reader.readuntil(b"\r\n\r\n"))
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            assert status in head and part in await soon(reader.readexactly(length))
+            writer.close()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"no call at all\r\n\r\n")
+        assert await soon(reader.read()) == b""
+        writer.close()
+        await until(lambda: not service.watchers)
+        service.close()
+
+    run(main())
+
+
+def test_a_slow_discovery_answers_one_call_after_another() -> None:
+    async def main() -> None:
+        service = DiscoveryService(host_lines(2, DIALS), answer_ms=30.0)
+        address = await service.listen("real")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        pairs = [await asyncio.open_connection(*address) for _ in range(4)]
+        for _, writer in pairs:
+            writer.write(b"GET /discovery/hosts HTTP/1.1\r\nHost: h\r\n\r\n")
+        for reader, writer in pairs:
+            assert b"200" in await soon(reader.readline())
+            writer.close()
+        assert loop.time() - began >= 0.115
+        service.close()
+
+    run(main())
+
+
+def test_numbers_live_from_their_first_call_on() -> None:
+    numbers = Numbers()
+    assert numbers.add(b"a", 2.5, 1000, 0.0) == 2.5
+    assert numbers.add(b"a", -1.0, 90_000, 0.9) == 1.5  # does not extend its life
+    assert numbers.add(b"a", 4.0, 90_000, 1.0) == 4.0
+    assert numbers.add(b"b", 1.0, 90_000, 1.0) == 1.0
+    numbers.sweep(60.9)
+    assert len(numbers) == 2
+    numbers.sweep(61.0)  # a life is a minute at most
+    assert len(numbers) == 0
+
+
+def test_the_counter_adds_for_the_real_client_and_says_what_is_no_call() -> None:
+    async def main() -> None:
+        service = CounterService()
+        address = await service.listen("real")
+        answered: list[it.CountAnswered] = []
+        node = Node(settings_from(wire_settings(0, 1)), 1, Clock(), asyncio.get_running_loop())
+        node.feed = answered.append  # type: ignore[assignment, method-assign]
+        counter = Counter(node, address)
+        counter.call(7, 2.0, 4000.0)
+        counter.call(7, 1.5, 4000.0)
+        await until(lambda: len(answered) == 2)
+        assert [(a.outcome, a.total) for a in answered] == [(it.Outcome.OK, 2.0), (it.Outcome.OK, 3.5)]
+        service.open = False
+        counter.call(7, 1.0, 4000.0)
+        await until(lambda: len(answered) == 3)
+        assert answered[2].outcome is it.Outcome.FULL and service.traffic["real"].refused == 1
+        reader, writer = await asyncio.open_connection(*address)
+        service.open = True
+        for words in (
+            (b"PING",),
+            (b"CLIENT", b"x"),
+            (b"GET", b"x"),
+            (b"ADDGET", b"n" * 65, b"1", b"1"),
+            (b"ADDGET", b"n", b"1e10", b"1"),
+            (b"ADDGET", b"n", b"x", b"1"),
+            (b"ADDGET", b"n", b"1", b"0"),
+            (b"ADDGET", b"n", b"0.25", b"1"),
+        ):
+            writer.write(pack(words))
+        lines = [await soon(reader.readline()) for _ in range(9)]
+        assert lines[:2] == [b"+PONG\r\n", b"+OK\r\n"] and all(
+            line.startswith(b"-ERR") for line in lines[2:7]
+        )
+        assert lines[7:] == [b"$4\r\n", b"0.25\r\n"]
+        writer.write(b"?")
+        assert await soon(reader.read()) == b""
+        writer.close()
+        counter.stop()
+        service.close()
+
+    run(main())
+
+
+def test_the_counter_resets_connections_beyond_those_of_one_caller() -> None:
+    async def main() -> None:
+        service = CounterService(per_caller=2)
+        address = await service.listen("real")
+        pairs = [await asyncio.open_connection(*address) for _ in range(2)]
+        await until(lambda: sum(map(len, service.connections.values())) == 2)
+        reader, writer = await asyncio.open_connection(*address)
+        with contextlib.suppress(ConnectionResetError):
+            assert await soon(reader.read()) == b""
+        for _, held in [*pairs, (reader, writer)]:
+            held.close()
+        await until(lambda: not any(service.connections.values()))
+        service.close()
+
+    run(main())
+
+
+def test_a_counter_with_few_calls_a_second_answers_in_turn() -> None:
+    async def main() -> None:
+        service = CounterService(calls_per_second=50.0)
+        address = await service.listen("real")
+        loop = asyncio.get_running_loop()
+        reader, writer = await asyncio.open_connection(*address)
+        began = loop.time()
+        for _ in range(5):
+            writer.write(pack((b"ADDGET", b"n", b"1", b"1000")))
+        totals = [(await soon(reader.readline()), await soon(reader.readline()))[1] for _ in range(5)]
+        assert totals == [b"%d\r\n" % n for n in range(1, 6)] and loop.time() - began >= 0.095
+        writer.close()
+        service.close()
+
+    run(main())
+    assert BUSY == b"-BUSY\r\n"
+
+
+def test_hosts_serve_real_pools_and_say_how_long_it_took() -> None:
+    async def main() -> None:
+        service = HostService(seed=1)
+        (dial,) = await service.listen(1)
+        host, _, port = dial.rpartition(":")
+        client = await Client.connect((host, int(port)))
+        tenants = Tenants(10, 4, 100.0, 1)
+        draw = tenants.draw(random.Random(1))
+        client.send(*request_words(1, draw))
+        answer = await client.answer()
+        assert len(answer) == 3 and answer[1:] == [None, None] and int(answer[0]) >= 2000
+        client.send(b"PING")
+        assert await client.answer() == b"PONG"
+        client.send(b"INFO", b"load")
+        assert await client.answer() == "-NOPERM"
+        client.send(b"NOTHING")
+        assert str(await client.answer()).startswith("-ERR")
+        client.writer.close()
+        await until(lambda: not service.connections)
+        service.close()
+
+    run(main())
+
+
+def test_a_hollow_gateway_decides_with_the_real_clients() -> None:
+    async def main() -> None:
+        discovery, counter = DiscoveryService(host_lines(20, DIALS)), CounterService()
+        addresses = Addresses(await discovery.listen("hollow"), await counter.listen("hollow"))
+        arrived: list[Request] = []
+        gateway = HollowGateway(0, 1, addresses, 1, arrived=arrived.append)
+        gateway.start()
+        await until(lambda: gateway.version == 1)
+        tenants, rng = Tenants(10, 1, 100.0, 1), random.Random(2)
+        for _ in range(20):
+            gateway.request(tenants.draw(rng))
+        await until(lambda: not gateway.node.requests)
+        ended = gateway.client.ended_as
+        assert sum(ended.values()) == 20 and ended["served"] == len(arrived) > 0 and not ended["failed"]
+        assert counter.traffic["hollow"].messages_in > 0
+        await gateway.stop()
+        discovery.close()
+        counter.close()
+
+    run(main())
+
+
+def test_tenants_are_the_same_for_the_same_seed_and_their_requests_come_to_their_set() -> None:
+    tenants, again = Tenants(50, 12, 1000.0, 3), Tenants(50, 12, 1000.0, 3)
+    assert tenants.tenants == again.tenants != Tenants(50, 12, 1000.0, 4).tenants
+    rng = random.Random(5)
+    for _ in range(200):
+        draw = tenants.draw(rng)
+        assert (draw.gateway - draw.tenant.first) % 12 < draw.tenant.spread
+
+
+def test_a_host_line_is_an_entry_of_the_protocol() -> None:
+    line = HostLine("h-1", "127.0.0.1:9", "region0-zone0", 3, "in_service", 5.0)
+    assert line.encoded() == (
+        b'{"host":"h-1","dial":"127.0.0.1:9","site":"region0-zone0","class":"m2","block":3,'
+        b'"health":"in_service","share":1.0,"born_ms":5.0}'
+    )
+
+
+@pytest.mark.parametrize("wait", ["-5", "0"])
+def test_a_call_that_does_not_wait_is_answered_at_once(wait: str) -> None:
+    async def main() -> None:
+        service = DiscoveryService(host_lines(2, DIALS))
+        address = await service.listen("real")
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(f"GET /discovery/hosts?index=1&wait={wait} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        assert b"200" in await soon(reader.readline())
+        writer.close()
+        service.close()
+
+    run(main())
