Name the client side of the node in standard terms, with its time limits apart

They are now node/client_timeouts.py: ConnectionTimeouts with one map for each state, and TimeLimit records. The sending half of a connection is node/client_replies.py; the reading half states in ConnectionOwner what it needs of the listener. Behaviour is unchanged.

Tests: renamed attributes, constants and imports only.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from rainturn import interface as it
-from rainturn.node.clients import Clients
+from rainturn.node.clients import ClientListener
 from rainturn.node.control import CONNECTIONS, Answer, Control, Route
 from rainturn.node.counter import Counter
 from rainturn.node.discovery import Discovery, parse_address
@@ -134,7 +134,7 @@
 
     node: Node
     pools: HostPools
-    clients: Clients
+    clients: ClientListener
     discovery: Discovery
     counter: Counter | NoCounter
     control: Control
@@ -146,7 +146,7 @@
         self.clients.budget = room - self.pools.budget
 
 
-def routes(node: Node, clients: Clients, names: Names) -> dict[bytes, dict[bytes, Route]]:
+def routes(node: Node, clients: ClientListener, names: Names) -> dict[bytes, dict[bytes, Route]]:
     """What operators may call."""
 
     def ready() -> Answer:
@@ -184,7 +184,7 @@
     budget = max(8, descriptors - RESERVE - (CONNECTIONS if config.control else 0))
     pools = node.hosts = HostPools(node, config.idle_ms, int(budget * HOSTS_PART))
     counter = node.counter = Counter(node, config.counter) if config.counter else NoCounter()
-    clients = Clients(node, config.names, budget - pools.budget, config.max_open, config.memory_mb)
+    clients = ClientListener(node, config.names, budget - pools.budget, config.max_open, config.memory_mb)
     discovery = Discovery(node, pools, config.names.zones, config.discovery, config.seed)
     if config.known is not None:
         try:
@@ -277,7 +277,7 @@
         while handover.predecessor is not None and not parts.node.ready() and not stop.is_set():
             await asyncio.sleep(READY_LOOK_S)  # until then the predecessor serves alone
     if listener is not None:
-        address = parts.clients.take(listener)
+        address = parts.clients.accept_from(listener)
     gc.collect()
     gc.freeze()
     log.info("%s: listening on %s:%d", config.name, *address)
@@ -306,10 +306,10 @@
         await asyncio.sleep(min(ACCEPT_MORE_S, end - loop.time()))
     parts.clients.stop(not handed_on)
     parts.pools.close_idle()
-    await parts.clients.gone(end - loop.time())
+    await parts.clients.wait_closed(end - loop.time())
     for request in [r for r in node.requests.values() if not r.done]:
         node.end_now(request)
-    await parts.clients.closed()
+    await parts.clients.close()
     await asyncio.sleep(LAST_CALLS_S)
 
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -13,8 +13,7 @@
 
 from rainturn import interface as it
 from rainturn.logic import Customer
-from rainturn.node import client_commands, client_connection
-from rainturn.node import clients as clients_module
+from rainturn.node import client_commands, client_connection, client_timeouts
 from rainturn.node.gateway import Attempt
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.resp import pack
@@ -143,7 +142,7 @@
 
 def _limits(monkeypatch: pytest.MonkeyPatch, **limits: float) -> None:
     for name, value in ({"SWEEP_S": 0.01} | limits).items():
-        monkeypatch.setattr(clients_module, name, value)
+        monkeypatch.setattr(client_timeouts, name, value)
 
 
 async def _ends(client: Client) -> bool:
@@ -154,7 +153,7 @@
 
 
 def test_silence_half_a_command_and_rest_have_limits_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    _limits(monkeypatch, SPEAK_S=0.5, COMMAND_S=0.05, IDLE_S=0.05)
+    _limits(monkeypatch, UNPROVEN_S=0.5, COMMAND_S=0.05, IDLE_S=0.05)
 
     async def main() -> None:
         async with World(held := Held()) as world:
@@ -169,14 +168,14 @@
             held.released.set()  # nobody is closed while a request is open
             assert await served_one.answer() == b"value"
             assert await _ends(served_one)
-            clients = world.parts.clients
-            assert not (clients.strangers or clients.idle or clients.unfinished)
+            timeouts = world.parts.clients.timeouts
+            assert not (timeouts.unproven or timeouts.idle or timeouts.incomplete)
 
     run(main())
 
 
 def test_an_error_behind_open_requests_is_told_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    _limits(monkeypatch, OWED_S=0.05)
+    _limits(monkeypatch, QUEUED_ERROR_S=0.05)
 
     async def main() -> None:
         async with World(_silent) as world:
@@ -342,7 +341,7 @@
             command = pack([b"API.WRITE", b"00000000b4d65521", b"1", head, bytes(200_000)])
             client.writer.write(command[:150_000])
             (connection,) = await _connections(world)
-            while not (held and connection.paused):
+            while not (held and connection.reading_paused):
                 await asyncio.sleep(0)
             if end == "reset":
                 reset(client.writer)
@@ -374,7 +373,7 @@
             for n in range(client_connection.MAX_PENDING + 8):
                 client.ask(b"%d" % n, wait=3000)
             (connection,) = await _connections(world)
-            while not connection.paused:
+            while not connection.reading_paused:
                 await asyncio.sleep(0)
             client.writer.close()
             while world.parts.clients.connections:
@@ -397,7 +396,7 @@
             ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             while not connection.transport.get_write_buffer_size():
                 await asyncio.sleep(0)
-            assert len(connection.pending) == 1 and not connection.paused
+            assert len(connection.pending) == 1 and not connection.reading_paused
             client.writer.write_eof()
             while world.parts.clients.connections:
                 await asyncio.sleep(0.01)
@@ -537,7 +536,9 @@
                 or not node.requests
             ):
                 await asyncio.sleep(0)
-            while (wait in ("unread", "body") and not connection.paused) or (wait == "counter" and not calls):
+            while (wait in ("unread", "body") and not connection.reading_paused) or (
+                wait == "counter" and not calls
+            ):
                 await asyncio.sleep(0)
             if wait in ("repeat", "behind"):
                 start(held.pop(0))
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import clients as clients_module
+from rainturn.node import client_timeouts
 from rainturn.node import control as control_module
 from rainturn.node.resp import pack
 from tests.helpers import LIMITS, Drive, of, settings
@@ -128,7 +128,7 @@
                 back.ask(ident)
                 assert await back.answer() == b"value"  # the connection stays
 
-    monkeypatch.setattr(clients_module, "PART_SPEAK_S", 0.1)
+    monkeypatch.setattr(client_timeouts, "DRAINING_UNPROVEN_S", 0.1)
     run(main())
 
 
@@ -141,7 +141,7 @@
             sock = client.writer.get_extra_info("socket")
             command = b"API.READ", b"00000000b4d65521", b"1", b"c=read,t=basic,d=900,units=1,spread=1,first=0"
             os.write(sock.fileno(), pack(command))  # it lies unread while the closing begins
-            world.parts.clients._part()
+            world.parts.clients.drain()
             assert await client.answer() == b"value"
             assert await soon(client.reader.read()) == b""
 
@@ -231,9 +231,9 @@
             client.send(b"PING")
             assert await client.answer() == b"PONG"
             (connection,) = world.parts.clients.connections
-            connection.leave()
-            world.parts.clients._part()
-            connection.unread()
+            connection.abort()
+            world.parts.clients.drain()
+            connection.check_unread()
             assert await soon(client.reader.read()) == b""
 
     run(main())
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -17,7 +17,7 @@
 import pytest
 
 from rainturn.node.__main__ import answer_by, finish
-from rainturn.node.clients import ACCEPT_AT_ONCE
+from rainturn.node.clients import ACCEPT_BATCH
 from rainturn.node.discovery import parse_address
 from rainturn.node.resp import pack
 from rainturn.settings import settings_from
@@ -159,7 +159,7 @@
     async def main() -> None:
         async with World(lambda words: served()) as world:
             waiting = []
-            for _ in range(3 * ACCEPT_AT_ONCE):  # no turn of the loop between
+            for _ in range(3 * ACCEPT_BATCH):  # no turn of the loop between
                 sock = socket.create_connection(world.address)
                 sock.send(pack([b"PING"]))
                 waiting.append(sock)
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -10,8 +10,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import clients as clients_module
-from rainturn.node import host_connection, host_pools
+from rainturn.node import client_timeouts, host_connection, host_pools
 from rainturn.node.resp import WHOLE, pack
 from tests.helpers import LIMITS, Drive, of, settings
 from tests.sockets import Client, World, reset, run, served, soon
@@ -128,7 +127,7 @@
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             writer.transport.set_write_buffer_limits(0)
             writer.write(served(value))
-            while not connection.blocked:
+            while not connection.writing_paused:
                 await asyncio.sleep(0)
             (host,) = world.parts.pools.pools[1].connections
             assert host.reading_paused and connection.transport.get_write_buffer_size() < 1 << 19
@@ -151,7 +150,7 @@
             client.ask(b"1", b"pay", body=body)
             sock, _ = await soon(asyncio.get_running_loop().sock_accept(listener))
             (connection,) = world.parts.clients.connections
-            while not connection.paused:
+            while not connection.reading_paused:
                 await asyncio.sleep(0)
             (host,) = pool.connections
             assert host.transport.get_write_buffer_size() < 1 << 20
@@ -246,7 +245,7 @@
             assert figures["upstream_tries"] == figures["handled.pay.bad_gateway"] == 0
             raw.server.close()
 
-    monkeypatch.setattr(clients_module, "BODY_STALL_S", 0.2)
+    monkeypatch.setattr(client_timeouts, "BODY_STALL_S", 0.2)
     run(main())
 
 
