Split the decision module into a package, with names and types of the field

logic.py was one file with a class of 70 methods, in words of its own and with bare tuples for what is out, timers and the state handed over.

rainturn/decisions/ now holds what decides, all named under policy: admission (tiers), hosts (choice and health), quota (a customer's store and the calls to its count), attempts, slots (caps on open attempts), metering, gateway (the event loop). What decides nothing stands beside it: records, timers, averages, counts (names and layout of the counter's totals), host_index, and state, which saves and restores what a successor gets: versioned, and refused with StateMismatch. Twin is ProcessOverlap, Leaving is ShuttingDown.

An ended request without a customer stayed in the table of ended ones for good where attempts of it were still out; it leaves with the last of them.

--- a/rainturn/benchlink.py
+++ b/rainturn/benchlink.py
@@ -8,7 +8,7 @@
 from typing import Any, BinaryIO, NoReturn
 
 from rainturn import interface as it
-from rainturn.logic import Gateway
+from rainturn.decisions import Gateway
 from rainturn.settings import read_settings
 
 MAX_FRAME = 1 << 30
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -273,13 +273,13 @@
     on: bool
 
 
-class Twin(NamedTuple):
+class ProcessOverlap(NamedTuple):
     """Another process of this same gateway serves beside this one, or has ended."""
 
     on: bool
 
 
-class Leaving(NamedTuple):
+class ShuttingDown(NamedTuple):
     """This process ends as soon as what is open is answered."""
 
 
@@ -294,8 +294,8 @@
     | PeerMessage
     | CountAnswered
     | InService
-    | Twin
-    | Leaving
+    | ProcessOverlap
+    | ShuttingDown
     | BodyWhole
 )
 
--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -27,6 +27,7 @@
 from rainturn.node.handover import Handover, inherited
 from rainturn.node.host_pools import HostPools
 from rainturn.settings import Names, names_from, settings_from
+from rainturn.state import restore_state, save_state
 
 log = logging.getLogger("rainturn.node")
 
@@ -218,7 +219,7 @@
 
 def carried(parts: Parts) -> dict[str, Any]:
     """What the module passes on, its hosts by their names: their numbers differ from process to process."""
-    state = parts.node.module.carried()
+    state = dict[str, Any](save_state(parts.node.module))
     pools = parts.pools.pools
     state["hosts"] = {
         pools[int(number)].name: values for number, values in state["hosts"].items() if int(number) in pools
@@ -231,7 +232,7 @@
     try:
         numbers = parts.discovery.numbers
         hosts = {str(numbers[name]): values for name, values in state["hosts"].items() if name in numbers}
-        parts.node.module.carry_on(parts.node.clock.now(), state | {"hosts": hosts})
+        restore_state(parts.node.module, parts.node.clock.now(), state | {"hosts": hosts})
         log.info("handover: carried on")
     except (AttributeError, IndexError, KeyError, OverflowError, TypeError, ValueError) as error:
         log.warning("handover: state passed over: %r", error)
@@ -246,7 +247,7 @@
         parts.give_room(max(parts.room // 2, open_now))
     else:
         parts.give_room(max(8, parts.room - max(parts.room // 2, held)))
-    parts.node.feed(it.Twin(held is not None))
+    parts.node.feed(it.ProcessOverlap(held is not None))
 
 
 async def serve(config: Config, descriptors: int) -> None:
@@ -301,7 +302,7 @@
     """Take requests a little longer, unless the listener is another's to serve; then answer what is open."""
     loop, node = asyncio.get_running_loop(), parts.node
     end = loop.time() + answer_by(node.settings)
-    node.feed(it.Leaving())
+    node.feed(it.ShuttingDown())
     if not handed_on:
         await asyncio.sleep(min(ACCEPT_MORE_S, end - loop.time()))
     parts.clients.stop(not handed_on)
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from rainturn import interface as it
-from rainturn.logic import Gateway
+from rainturn.decisions import Gateway
 from rainturn.node.body import Body
 from rainturn.node.counters import Counters, Ending
 
@@ -212,7 +212,7 @@
             # decided is carried out, the request of the event is answered, and its timers, which may not
             # have been asked for, are looked at again. Others it lost are answered at their deadline.
             log.exception("the module failed on %s", type(event).__name__)
-            actions = self.module.acts
+            actions = self.module.actions
             number = getattr(event, "request", None)
             if number in self.requests:
                 actions = [*actions, it.Fail(number)]
--- /dev/null
+++ b/rainturn/state.py
@@ -0,0 +1,169 @@
+"""What one process of a gateway hands to the next: saved as JSON, read back and checked."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any, NamedTuple, TypedDict
+
+from rainturn import interface as it
+from rainturn.averages import AnswerTime, PassShare
+from rainturn.decisions import Gateway
+from rainturn.decisions.quota import new_customer
+from rainturn.records import Customer, Host
+
+SETTLE_MS = 500.0  # a successor waits so long for a fresh list before it says that it is ready
+VERSION = 2  # raised with each change of the fields or of their meaning
+
+HOST_FIELDS: dict[str, type] = {
+    "latency": float,
+    "latency_at": float,
+    "failures": int,
+    "resets": int,
+    "failing_since": float,
+    "started": float,
+    "tried_at": float,
+}
+CUSTOMER_FIELDS: dict[str, type] = {
+    "level": float,
+    "counted_level": float,
+    "filled_at": float,
+    "last_request_at": float,
+    "others_rate": float,
+    "window": int,
+    "total": float,
+    "total_at": float,
+    "pass_share": float,
+    "pass_credit": float,
+    "overrun": float,
+    "ceiling": float,
+    "ceiling_at": float,
+}
+
+
+class StateMismatch(ValueError):
+    """A saved state is damaged, of another version or of other settings."""
+
+
+class SavedState(TypedDict):
+    """The JSON form: rows of plain numbers."""
+
+    version: int
+    hosts: dict[str, list[float]]  # by number or name: the values of HOST_FIELDS
+    customers: list[list[float]]  # key, index of the plan, spread, the values of CUSTOMER_FIELDS
+    answer_times: list[list[float]]  # by class: mean and deviation, ms
+    pass_shares: list[list[float]]  # by plan: share and sample
+    capacity: list[float]  # capacity, growth, departed
+    usual_arrivals: list[float]  # by tier
+    counter_load: list[float]
+
+
+class CustomerRow(NamedTuple):
+    """One customer as read back."""
+
+    key: int
+    plan: int
+    spread: float
+    values: list[float]  # of CUSTOMER_FIELDS
+
+
+class CheckedState(NamedTuple):
+    """A saved state that has been checked."""
+
+    hosts: dict[int, list[float]]  # values of HOST_FIELDS
+    customers: list[CustomerRow]
+    answer_times: list[AnswerTime]
+    pass_shares: list[PassShare]
+    capacity: list[float]
+    usual_arrivals: list[float]
+    counter_load: list[float]
+
+
+def save_state(gateway: Gateway) -> SavedState:
+    """What a successor should know; hosts by their numbers here, and customers whose count was read."""
+    settings, tiers, load = gateway.settings, gateway.tiers, gateway.calls.load
+    known = [customer for customer in gateway.customers.values() if customer.window >= 0]
+    return SavedState(
+        version=VERSION,
+        hosts={str(host.id): _values(host, HOST_FIELDS) for host in gateway.hosts.values()},
+        customers=[
+            [customer.key, settings.plans.index(customer.plan), customer.spread]
+            + _values(customer, CUSTOMER_FIELDS)
+            for customer in known
+        ],
+        answer_times=[[times.mean, times.deviation] for times in gateway.answer_times],
+        pass_shares=[[share.share, share.sample] for share in gateway.meter.pass_shares],
+        capacity=[tiers.capacity, tiers.growth, tiers.departed],
+        usual_arrivals=list(tiers.usual),
+        counter_load=[load.value, load.at],
+    )
+
+
+def restore_state(gateway: Gateway, now: float, saved: Mapping[str, Any]) -> None:
+    """Take over what a predecessor knew; raises `StateMismatch` and changes nothing where it does not fit."""
+    try:
+        state = _read(saved, gateway.settings, len(gateway.tiers.usual))
+    except (AttributeError, IndexError, KeyError, OverflowError, TypeError, ValueError) as error:
+        raise StateMismatch(f"saved state: {error!r}") from error
+    for number, values in state.hosts.items():
+        if number in gateway.hosts:
+            _assign(gateway.hosts[number], HOST_FIELDS, values)
+    gateway.customers.clear()
+    for row in state.customers:
+        customer = new_customer(row.key, gateway.settings.plans[row.plan], row.spread, now, now)
+        _assign(customer, CUSTOMER_FIELDS, row.values)
+        gateway.customers[row.key] = customer
+    gateway.answer_times[:] = state.answer_times
+    gateway.meter.pass_shares[:] = state.pass_shares
+    gateway.calls.load.value, gateway.calls.load.at = state.counter_load
+    tiers = gateway.tiers
+    tiers.capacity, tiers.growth, tiers.departed = state.capacity
+    tiers.usual[:] = state.usual_arrivals
+    tiers.marked_at = now if tiers.capacity else -math.inf
+    tiers.periods = 1
+    gateway.settled_at = now + SETTLE_MS
+    gateway.index.sort(now)
+
+
+def _read(saved: Mapping[str, Any], settings: it.Settings, tiers: int) -> CheckedState:
+    if saved["version"] != VERSION:
+        raise ValueError(f"version {saved['version']!r}, expected {VERSION}")
+    hosts = {int(number): _numbers(row, len(HOST_FIELDS)) for number, row in saved["hosts"].items()}
+    return CheckedState(
+        hosts,
+        [_customer(row, settings) for row in saved["customers"]],
+        [AnswerTime(*pair) for pair in _pairs(saved["answer_times"], len(settings.classes))],
+        [PassShare(*pair) for pair in _pairs(saved["pass_shares"], len(settings.plans))],
+        _numbers(saved["capacity"], 3),
+        _numbers(saved["usual_arrivals"], tiers),
+        _numbers(saved["counter_load"], 2),
+    )
+
+
+def _customer(row: list[Any], settings: it.Settings) -> CustomerRow:
+    key, plan, spread, *values = row
+    if not 0 <= plan < len(settings.plans):
+        raise ValueError(f"plan {plan!r}")
+    (spread,) = _numbers([spread], 1)
+    return CustomerRow(int(key), int(plan), spread, _numbers(values, len(CUSTOMER_FIELDS)))
+
+
+def _pairs(source: list[Any], count: int) -> list[list[float]]:
+    if len(source) != count:
+        raise ValueError(f"{len(source)} entries, expected {count}")
+    return [_numbers(pair, 2) for pair in source]
+
+
+def _numbers(source: list[Any], count: int) -> list[float]:
+    if len(source) != count or not all(math.isfinite(value) for value in source):
+        raise ValueError(f"expected {count} numbers, got {source!r:.80}")
+    return [float(value) for value in source]
+
+
+def _values(record: Host | Customer, fields: dict[str, type]) -> list[float]:
+    return [float(getattr(record, name)) for name in fields]
+
+
+def _assign(record: Host | Customer, fields: dict[str, type], values: list[float]) -> None:
+    for (name, kind), value in zip(fields.items(), values, strict=True):
+        setattr(record, name, kind(value))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from rainturn import interface as it
-from rainturn.logic import Gateway
+from rainturn.decisions import Gateway
 
 SAFE = it.RequestClass(it.Effect.SAFE, aim_ms=1500, deadline_ms=6000, worth=1)
 KEYED = replace(SAFE, effect=it.Effect.KEYED, group=it.Group.ZONE, window_ms=12_000, worth=5, late_worth=0.2)
@@ -70,8 +70,8 @@
     def count(self, call: it.Count, total: float, outcome: it.Outcome = it.Outcome.OK) -> list[it.Action]:
         return self.feed(it.CountAnswered(call.name, outcome, total, 2.0))
 
-    def beats(self, span: float) -> list[it.Action]:
-        """Let time pass with a beat every 20 ms."""
+    def run_for(self, span: float) -> list[it.Action]:
+        """Let time pass, with a timer event every 20 ms."""
         got: list[it.Action] = []
         stop = self.now + span
         while self.now < stop:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -13,7 +13,10 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.logic import CROWD_MOST, TARGET, Customer, Gateway, Tiers
+from rainturn.decisions import Gateway, quota
+from rainturn.decisions.admission import TARGET, Tiers
+from rainturn.decisions.quota import FAILED_LOAD, new_customer
+from rainturn.records import CounterCall, Customer
 from tests.helpers import KEYED, LIMITS, PLAN, SAFE, UNSAFE, Drive, hosts, of, settings
 
 ROOT = Path(__file__).parent.parent
@@ -157,49 +160,49 @@
 WIDE = 40.0  # a spread at which an even share of the burst is far under one request
 
 
-def customer(level: float = 8.0, now: float = 1000.0, spread: float = 2.0) -> Customer:
-    who = Customer(1, PLAN, spread, now, now)
-    who.level = who.base = level
-    who.window, who.read_at, who.phase = 0, now, 0.0
-    return who
+def known_customer(level: float = 8.0, now: float = 1000.0, spread: float = 2.0) -> Customer:
+    customer = new_customer(1, PLAN, spread, now, now)
+    customer.level = customer.counted_level = level
+    customer.window, customer.total_at, customer.window_phase = 0, now, 0.0
+    return customer
 
 
 def begins(window: int) -> float:
     """When a window of the customer 1 begins."""
-    who = Customer(1, PLAN, 1.0, 0.0, 0.0)
-    return window * who.span - who.phase
+    customer = new_customer(1, PLAN, 1.0, 0.0, 0.0)
+    return window * customer.window_ms - customer.window_phase
 
 
 def test_a_new_customer_starts_with_its_share_of_the_burst() -> None:
-    assert Customer(1, PLAN, 2.0, 0.0, 0.0).level == 4.0
+    assert new_customer(1, PLAN, 2.0, 0.0, 0.0).level == 4.0
 
 
 def test_a_total_shows_what_others_took() -> None:
-    who = customer()
-    who.total = 10.0
-    who.learn(1000.0, 0, 1.0, 1.0, 14.0)
-    assert abs(who.level - 5.0) < 0.01 and who.total == 14.0
+    customer = known_customer()
+    customer.total = 10.0
+    quota.learn(customer, 1000.0, CounterCall(0, 1.0, 1.0), 14.0)
+    assert abs(customer.level - 5.0) < 0.01 and customer.total == 14.0
 
 
 def test_an_overrun_elsewhere_takes_nothing_from_the_store_and_its_give_back_adds_nothing() -> None:
     """Case 5757: units sent beyond the quota elsewhere were booked as used, for seconds of refusals."""
-    who = customer(1.0)
-    who.total = 9.0
-    who.learn(1000.0, 0, 0.0, 0.0, 13.0)
-    assert who.level == 0.0
-    who.learn(1000.0, 0, 0.0, 0.0, 9.0)
-    assert abs(who.level - 1.0) < 0.1
-    who.learn(1000.0, 0, 0.0, 0.0, 13.0)
-    who.learn(4000.0, 0, 0.0, 0.0, 13.0)
-    assert abs(who.level - 6.0) < 0.1
+    customer = known_customer(1.0)
+    customer.total = 9.0
+    quota.learn(customer, 1000.0, CounterCall(0, 0.0, 0.0), 13.0)
+    assert customer.level == 0.0
+    quota.learn(customer, 1000.0, CounterCall(0, 0.0, 0.0), 9.0)
+    assert abs(customer.level - 1.0) < 0.1
+    quota.learn(customer, 1000.0, CounterCall(0, 0.0, 0.0), 13.0)
+    quota.learn(customer, 4000.0, CounterCall(0, 0.0, 0.0), 13.0)
+    assert abs(customer.level - 6.0) < 0.1
 
 
 def test_the_store_carries_over_into_the_next_window() -> None:
     """A fresh window does not forget what this gateway saw of the last one."""
-    who = customer(1.0)
-    who.read_at = who.span
-    who.learn(who.span, 1, 0.0, 0.0, 0.0)
-    assert who.level <= 1.01 and who.window == 1
+    customer = known_customer(1.0)
+    customer.total_at = customer.window_ms
+    quota.learn(customer, customer.window_ms, CounterCall(1, 0.0, 0.0), 0.0)
+    assert customer.level <= 1.01 and customer.window == 1
 
 
 @pytest.mark.parametrize("remembers", [False, True])
@@ -214,7 +217,7 @@
     read = of(got := drive.count(call, 1.0), it.Count)
     assert [(c.name, c.amount) for c in read] == [(call.name - 1, 0.0)]
     assert not of(got, it.Send) and not of(got, it.Refuse), "the try waits for it"
-    got = drive.count(read[0], PLAN.rate * drive.gate.customers[1].span / 1000 + 5.0)
+    got = drive.count(read[0], PLAN.rate * drive.gate.customers[1].window_ms / 1000 + 5.0)
     debt = of(got, it.Count)
     assert [(c.name, round(c.amount, 3)) for c in debt] == [(call.name, 5.0)] and of(got, it.Send)
     assert not of(drive.count(debt[0], 6.0), it.Refuse)
@@ -277,7 +280,7 @@
     level, asked, sent, beyond, refused, calls = PLAN.burst, 0, 0, 0, 0, 0
     waiting: list[tuple[float, Drive, it.Count]] = []  # an answer takes 10 ms
     now = begins(8)
-    end = now + 6 * Customer(1, PLAN, WIDE, 0.0, 0.0).span
+    end = now + 6 * new_customer(1, PLAN, WIDE, 0.0, 0.0).window_ms
     arrival = at = now
 
     def act(drive: Drive, actions: list[it.Action]) -> None:
@@ -296,7 +299,7 @@
                 room = min(PLAN.burst, level + PLAN.rate * (now - at) / 1000)
                 refused += room >= PLAN.burst / 2
 
-    beat, lost_at = now, now + 2.6 * Customer(1, PLAN, WIDE, 0.0, 0.0).span if loses else math.inf
+    beat, lost_at = now, now + 2.6 * new_customer(1, PLAN, WIDE, 0.0, 0.0).window_ms if loses else math.inf
     while now < end:
         if now >= lost_at:
             totals.clear()
@@ -328,7 +331,7 @@
         call = of(drive.arrive(0, spread=WIDE)[1], it.Count)[0]
         drive.count(call, total + 1.0)  # denied, and given back
         drive.count(of(drive.done, it.Count)[-1], total)
-        drive.gate.customers[1].share = 0.1
+        drive.gate.customers[1].pass_share = 0.1
         drive.now += 3000.0
         (call,) = of(drive.arrive(0, spread=WIDE)[1], it.Count)
         assert call.amount == 0.0
@@ -349,9 +352,9 @@
     start, totals = begins(8) + 3000.0, dict[int, float]()
     drives = [Drive(settings(gateways=gateways, gateway=n), now=start) for n in range(gateways)]
     ages = {
-        key: who.age(start, who.window_at(start))
+        key: customer.window_age(start, customer.window_at(start))
         for key in range(1, 100)
-        for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]
+        for customer in [new_customer(key, PLAN, WIDE, 0.0, 0.0)]
     }
     short = [key for key, age in ages.items() if 2000.0 < age < 6000.0][:8]  # their windows go on for long
 
@@ -362,7 +365,7 @@
 
     def wait(span: float) -> None:
         for drive in drives:
-            settle(drive, drive.beats(span))
+            settle(drive, drive.run_for(span))
 
     for turn in range(160):  # each customer comes to some gateways, until its store is empty
         drive = drives[turn // 8 * 5 % min(gateways, 24)]
@@ -385,9 +388,9 @@
     """It may have been full or empty; told, all gateways see the same. Empty counts alone prove no loss."""
     start = begins(8) + 6000.0
     ages = {
-        key: who.age(start, who.window_at(start))
+        key: customer.window_age(start, customer.window_at(start))
         for key in range(2, 100)
-        for who in [Customer(key, PLAN, WIDE, 0.0, 0.0)]
+        for customer in [new_customer(key, PLAN, WIDE, 0.0, 0.0)]
     }
     others = [key for key, age in ages.items() if 4000.0 < age < 8000.0]
     drive = Drive(settings(), now=start)
@@ -411,16 +414,16 @@
 def test_units_let_in_without_a_call_are_told_soon_also_if_the_customer_does_not_come_again() -> None:
     """calm+mass: they waited for the customer's next try there, and all others took them for free."""
     drive = Drive(settings())
-    drive.gate.crowd, drive.gate.crowd_at = 4.0, drive.now  # few calls are made
+    drive.gate.calls.load.value, drive.gate.calls.load.at = 4.0, drive.now  # few calls are made
     drive.gate.rng.seed(1)
     sent = 0
     while not sent:
         got = drive.arrive(0, customer=drive.serial + 1)[1]
         sent = len(of(got, it.Send))
-    who = drive.gate.customers[drive.serial]
-    assert who.pending == 1.0 and who.call is None
-    drive.gate.crowd = 0.0
-    calls = [call for call in of(drive.beats(600.0), it.Count) if call.name >> 30 == who.key]
+    customer = drive.gate.customers[drive.serial]
+    assert customer.unreported == 1.0 and customer.call is None
+    drive.gate.calls.load.value = 0.0
+    calls = [call for call in of(drive.run_for(600.0), it.Count) if call.name >> 30 == customer.key]
     assert [call.amount for call in calls] == [1.0]
 
 
@@ -466,11 +469,11 @@
 
 
 def test_what_was_let_in_beyond_an_empty_store_is_taken_off_the_count_again() -> None:
-    who = customer()
-    who.put_right(1000.0, 0, 5.0, 14.0, 4.0, 0.0, 0.0)  # 9 before it, of 8 and 2 refilled: one was left
-    assert abs(who.amiss + 3.0) < 0.01
-    who.put_right(1000.0, 0, 5.0, 9.0, 4.0, 0.0, 0.0)
-    assert who.amiss == 0.0
+    customer = known_customer()
+    quota.reconcile(customer, 1000.0, CounterCall(0, 5.0, 1.0, 4.0), 14.0)  # 9 before it; of 10 one was left
+    assert abs(customer.correction + 3.0) < 0.01
+    quota.reconcile(customer, 1000.0, CounterCall(0, 5.0, 1.0, 4.0), 9.0)
+    assert customer.correction == 0.0
 
 
 def test_a_crowded_counter_is_not_called_to_put_counts_right() -> None:
@@ -479,7 +482,7 @@
     for n in range(40):
         drive = Drive(settings(gateway=n % 2), now=130_000.0)
         call = of(drive.arrive(0)[1], it.Count)[0]
-        drive.gate.crowd, drive.gate.crowd_at = 4.0, drive.now  # one call in sixteen
+        drive.gate.calls.load.value, drive.gate.calls.load.at = 4.0, drive.now  # one call in sixteen
         made += len([c for c in of(drive.count(call, 5.0), it.Count) if c.amount > 2.0])
     assert made <= 10
 
@@ -488,8 +491,8 @@
     """Case 5757: most calls were made for tries that the last total had ruled out milliseconds before."""
     drive = Drive(settings())
     call = of(drive.arrive(0)[1], it.Count)[0]
-    who = drive.gate.customers[1]
-    total = PLAN.burst + PLAN.rate * who.age(drive.now, who.window_at(drive.now)) / 1000
+    customer = drive.gate.customers[1]
+    total = PLAN.burst + PLAN.rate * customer.window_age(drive.now, customer.window_at(drive.now)) / 1000
     back = of(drive.count(call, total + call.amount), it.Count)[0]
     assert back.amount == -call.amount and not drive.count(back, total)
     drive.now += 20.0
@@ -506,8 +509,8 @@
 def test_an_old_total_rules_nothing_out_as_others_may_have_given_back() -> None:
     drive = Drive(settings(plans=(replace(PLAN, rate=0.5),)))
     call = of(drive.arrive(0)[1], it.Count)[0]
-    who = drive.gate.customers[1]
-    total = PLAN.burst + 0.5 * who.age(drive.now, who.window_at(drive.now)) / 1000
+    customer = drive.gate.customers[1]
+    total = PLAN.burst + 0.5 * customer.window_age(drive.now, customer.window_at(drive.now)) / 1000
     drive.count(of(drive.count(call, total + 1.0), it.Count)[0], total)
     drive.now += 900.0
     assert of(drive.arrive(0)[1], it.Refuse)
@@ -516,16 +519,16 @@
 
 
 def test_lost_counts_hand_out_nothing() -> None:
-    who = customer(3.0)
-    who.total = 50.0
-    who.learn(1000.0, 0, 1.0, 1.0, 1.0)
-    assert who.level == 3.0 and who.total == 1.0
+    customer = known_customer(3.0)
+    customer.total = 50.0
+    quota.learn(customer, 1000.0, CounterCall(0, 1.0, 1.0), 1.0)
+    assert customer.level == 3.0 and customer.total == 1.0
 
 
 def test_gateways_that_see_a_customer_once_keep_the_quota_together() -> None:
     """Wide spread: each of many gateways gets one try and one total, and the sum stays near the quota."""
     sent, total = 0, 0.0
-    span = Customer(1, PLAN, WIDE, 0.0, 0.0).span
+    span = new_customer(1, PLAN, WIDE, 0.0, 0.0).window_ms
     for n in range(400):
         drive = Drive(settings(), now=begins(10) + span * (n + 0.5) / 400)
         got = drive.arrive(0, spread=WIDE)[1]
@@ -540,7 +543,7 @@
 def test_a_quiet_customer_is_not_refused_for_its_spread() -> None:
     """An empty mirror says nothing: a first try at one of many gateways goes by the total."""
     drive = Drive(settings())
-    drive.gate.crowd = 0.0
+    drive.gate.calls.load.value = 0.0
     call = of(drive.arrive(0, spread=WIDE)[1], it.Count)[0]
     assert of(drive.count(call, 5.0), it.Send)
 
@@ -550,7 +553,7 @@
     drive = Drive(settings())
     sent = 0
     for _ in range(seconds * 10):
-        got = drive.arrive(0)[1] + drive.beats(100.0)
+        got = drive.arrive(0)[1] + drive.run_for(100.0)
         for call in of(got, it.Count):
             got += drive.count(call, 0.0, outcome)
         for send in of(got, it.Send):
@@ -568,7 +571,7 @@
 def test_calls_pause_while_the_counter_fails() -> None:
     drive = Drive(settings())
     for _ in range(100):
-        got = drive.arrive(0)[1] + drive.beats(100.0)
+        got = drive.arrive(0)[1] + drive.run_for(100.0)
         for call in of(got, it.Count):
             drive.count(call, 0.0, it.Outcome.FULL)
     assert len(of(drive.done, it.Count)) < 30
@@ -582,19 +585,19 @@
         outcome = it.Outcome.TIMEOUT if n % 30 == 29 else it.Outcome.OK
         drive.feed(it.CountAnswered(999 << 30, outcome, 1.0, 50.0 if n % 30 == 29 else 8.0))
         drive.now += 10.0
-        shares.append(drive.gate._calls_share(drive.now))
+        shares.append(drive.gate.calls.share(drive.now))
     assert min(shares[100:]) > 0.2 and sum(shares[100:]) / 200 > 0.75
     for _ in range(20):
         drive.feed(it.CountAnswered(999 << 30, it.Outcome.TIMEOUT, 0.0, 50.0))
-    assert drive.gate._calls_share(drive.now) < 0.1
+    assert drive.gate.calls.share(drive.now) < 0.1
 
 
 def test_calls_come_back_after_an_outage() -> None:
     """Guards against a counter left unused because its failures are remembered."""
     drive = Drive(settings())
-    drive.gate.crowd, drive.gate.crowd_at = CROWD_MOST, drive.now  # every call has failed
-    assert drive.gate._calls_share(drive.now) < 0.1
-    assert drive.gate._calls_share(drive.now + 15_000.0) == 1.0
+    drive.gate.calls.load.value, drive.gate.calls.load.at = FAILED_LOAD, drive.now  # every call has failed
+    assert drive.gate.calls.share(drive.now) < 0.1
+    assert drive.gate.calls.share(drive.now + 15_000.0) == 1.0
 
 
 def test_units_of_a_try_refused_after_asking_are_given_back() -> None:
@@ -610,7 +613,7 @@
     """Incident 3: parked requests had drawn their ceiling units long before they were sent together."""
     plan = it.Plan(price=1, rate=20, burst=40, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1)
     drive = Drive(settings(plans=(plan,), counter=False), fleet=0)
-    drive.beats(5000.0)
+    drive.run_for(5000.0)
     for _ in range(20):
         drive.arrive(0)
     drive.feed(hosts(4))
@@ -621,14 +624,14 @@
     drive = Drive(settings(plans=()))
     _, got = drive.arrive(0)
     first = of(got, it.Send)[0]
-    moved = of(drive.beats(1400.0), it.Send)
+    moved = of(drive.run_for(1400.0), it.Send)
     assert moved and moved[0].host != first.host
     busy = Drive(settings(plans=()), fleet=1)
     busy.arrive(0)
     other = of(busy.arrive(0)[1], it.Send)[0]
     busy.now += 400.0
     busy.end(other, it.Outcome.OK, elapsed=400.0)
-    assert not of(busy.beats(900.0), it.Send)
+    assert not of(busy.run_for(900.0), it.Send)
 
 
 def test_a_silent_connection_of_a_talking_host_does_not_keep_its_request() -> None:
@@ -639,17 +642,17 @@
     moved: list[float] = []
     for tenth in range(14):
         drive.now += 100.0
-        drive.gate._heard(drive.now, drive.gate.hosts[silent.host], 1.0)
+        drive.gate.host_choice.answered(drive.now, drive.gate.hosts[silent.host], 1.0)
         moved += [tenth for a in of(drive.feed(it.TimerFired(0)), it.Send) if a.request == silent.request]
     assert len(moved) == 1 and moved[0] >= 10, "slow answers are waited for"
-    assert drive.gate.hosts[silent.host].fails == 0
+    assert drive.gate.hosts[silent.host].failures == 0
 
 
 def test_patience_with_hosts_that_are_rarely_used() -> None:
     """Guards against calling off good requests; it can leave a request longer at a host just gone silent."""
     drive = Drive(settings(plans=()))
     drive.arrive(0)
-    assert not of(drive.beats(700.0), it.Send)
+    assert not of(drive.run_for(700.0), it.Send)
 
 
 def test_unknown_things_are_harmless() -> None:
@@ -676,7 +679,7 @@
         number, _ = drive.arrive(0, plan=plan)
         for call in of(drive.done, it.Count):
             drive.count(call, 1.0)
-        drive.beats(5000.0)
+        drive.run_for(5000.0)
         assert of(drive.done, it.Refuse) == [it.Refuse(number)]
 
 
@@ -692,6 +695,7 @@
     plan = replace(PLAN, rate=0, parallel=2)
     drives = [Drive(settings(plans=(plan,), gateways=4, gateway=n)) for n in range(4)]
     total, out, lose = 0.0, 0, False
+    base = drives[0].gate.slots.digits.base
 
     def settle(drive: Drive, actions: list[it.Action]) -> None:
         nonlocal total, out
@@ -701,7 +705,7 @@
             settle(drive, drive.count(call, total, it.Outcome.RESET if lose else it.Outcome.OK))
 
     def held() -> int:
-        return sum(round(total) // drives[0].gate.base ** n % drives[0].gate.base for n in range(4))
+        return sum(round(total) // base**n % base for n in range(4))
 
     for _ in range(2):
         settle(drives[0], drives[0].arrive(spread=4.0)[1])
@@ -714,13 +718,13 @@
         settle(drives[0], drives[0].end(send, it.Outcome.OK))
     lose = False
     assert out == 3 and held() == 1, "a slot goes to who waits here first, the other one is told free"
-    settle(drives[1], drives[1].beats(300.0))
+    settle(drives[1], drives[1].run_for(300.0))
     assert out == 4 and held() == 2
-    total -= drives[0].gate.base  # a claim that was answered and yet lost
+    total -= base  # a claim that was answered and yet lost
     for drive in drives:
         for send in of(drive.done, it.Send):
             settle(drive, drive.end(send, it.Outcome.OK))
-        settle(drive, drive.beats(2000.0))
+        settle(drive, drive.run_for(2000.0))
     assert held() == 0
 
 
@@ -749,7 +753,7 @@
             served += 1
             settle(drive, drive.end(send, it.Outcome.OK))
         for drive in drives:
-            settle(drive, drive.beats(20.0))
+            settle(drive, drive.run_for(20.0))
     assert served >= 3 and set(totals.values()) == {0.0}, "slots are used again, and none is left behind"
 
 
@@ -765,11 +769,11 @@
         calls += of(drive.count(calls.pop(), 0.0, it.Outcome.UNREACHABLE), it.Count)
     assert made == 1
     for _ in range(100):
-        for call in of(drive.beats(20.0), it.Count):
+        for call in of(drive.run_for(20.0), it.Count):
             made += 1
             drive.count(call, 0.0, it.Outcome.UNREACHABLE)
     assert 2 <= made <= 30
-    late = of(drive.beats(2400.0), it.Count)
+    late = of(drive.run_for(2400.0), it.Count)
     assert late and late[0].amount == -claim.amount, "the slot is given back once the counter is there again"
 
 
@@ -782,7 +786,7 @@
     second = drive.arrive(0)
     assert not of(second[1], it.Send)
     assert [send.request for send in of(drive.end(first, it.Outcome.CANCELLED), it.Send)] == [second[0]]
-    assert not drive.gate.leaving
+    assert not drive.gate.attempts.ended
 
 
 def test_subscribes_where_the_list_must_be_asked_for() -> None:
@@ -792,10 +796,11 @@
 
 
 def test_the_module_keeps_its_limits() -> None:
-    lines = (ROOT / "rainturn/logic.py").read_text().splitlines()
-    assert sum(1 for line in lines if line.strip()) <= 1200
-    assert max(map(len, lines)) <= 110
-    assert "rainturn/interface.py" in lines[0]
+    files = {path.name: path.read_text().splitlines() for path in (ROOT / "rainturn/decisions").glob("*.py")}
+    sizes = {name: sum(1 for line in lines if line.strip()) for name, lines in files.items()}
+    assert sum(sizes.values()) <= 1200 and max(sizes.values()) < 400, sizes
+    assert all(len(line) <= 110 for lines in files.values() for line in lines)
+    assert "rainturn/interface.py" in files["__init__.py"][0]
 
 
 SCRIPT = """
@@ -807,11 +812,11 @@
 for n in range(300):
     d.now += 7.0
     d.arrive(n % 3, customer=n % 11)
-    for a in list(d.gate.acts):
+    for a in list(d.gate.actions):
         if isinstance(a, it.Count):
             d.count(a, float(n % 5))
     if n % 4 == 0:
-        d.beats(20.0)
+        d.run_for(20.0)
 print(d.done)
 """
 
@@ -834,7 +839,7 @@
 def test_limits_are_settings() -> None:
     drive = Drive(settings(plans=(), limits=replace(LIMITS, may_duplicate=False)))
     send = of(drive.arrive(0)[1], it.Send)[0]
-    got = drive.beats(1400.0)
+    got = drive.run_for(1400.0)
     assert not of(got, it.Send) and of(got, it.Cancel) == [it.Cancel(send.request, 0)]
     assert of(drive.end(send, it.Outcome.CANCELLED), it.Send)
 
@@ -845,7 +850,7 @@
     first, got = drive.arrive(0)
     call = of(got, it.Count)[0]
     second, _ = drive.arrive(0)
-    drive.beats(1000.0)
+    drive.run_for(1000.0)
     assert {r.request for r in of(drive.done, it.Refuse)} == {first, second}
     got = drive.count(call, 0.0, it.Outcome.TIMEOUT)
     assert not of(got, it.Send)
@@ -895,13 +900,13 @@
     """Incidents i2cf20c and i915d05: suspects starved, most of a well fleet unused for the rest of a day."""
     drive = Drive(settings(plans=()), fleet=3)
     sick = drive.gate.hosts[2]
-    sick.fails, sick.failing, sick.lat = 5, drive.now, 10.0
+    sick.failures, sick.failing_since, sick.latency = 5, drive.now, 10.0
     tried = 0
     for _ in range(40):
         for send in of(drive.arrive(0)[1], it.Send):
             tried += send.host == 2
             drive.end(send, it.Outcome.UNREACHABLE if send.host == 2 else it.Outcome.OK)
-        drive.beats(100.0)
+        drive.run_for(100.0)
     assert 2 <= tried <= 6
 
 
@@ -913,24 +918,24 @@
     for serial, outcome in enumerate(ends, 900):
         drive.feed(it.AttemptEnded(serial, 0, 1, outcome, 1.0, outcome is it.Outcome.OK))
         if outcome is it.Outcome.OK:
-            drive.gate._heard(drive.now, host, 1.0)
-    assert host.fails == 0 and host.lat == 1.0
+            drive.gate.host_choice.answered(drive.now, host, 1.0)
+    assert host.failures == 0 and host.latency == 1.0
     for serial in range(2):
         drive.feed(it.AttemptEnded(950 + serial, 0, 1, it.Outcome.RESET, 1.0, False))
     sends = [send for _ in range(20) for send in of(drive.arrive()[1], it.Send)]
-    assert host.fails == 2 and {send.host for send in sends} == {2}
+    assert host.failures == 2 and {send.host for send in sends} == {2}
 
 
 def test_a_host_that_answers_again_is_used_again() -> None:
     """Incident i2cf20c: returned hosts kept the slowness of their failures and sat idle."""
     drive = Drive(settings(plans=()), fleet=2)
     back = drive.gate.hosts[2]
-    back.fails, back.failing, back.lat = 5, drive.now - 1500.0, 10.0
-    drive.gate._heard(drive.now, back, 1.0)
-    assert back.lat < 1.5 and back.fails == 0 and drive.gate._warmth(drive.now, back) == 1.0
-    back.fails, back.failing = 5, drive.now - 9000.0
-    drive.gate._heard(drive.now, back, 1.0)
-    assert drive.gate._warmth(drive.now, back) < 1.0
+    back.failures, back.failing_since, back.latency = 5, drive.now - 1500.0, 10.0
+    drive.gate.host_choice.answered(drive.now, back, 1.0)
+    assert back.latency < 1.5 and back.failures == 0 and drive.gate.host_choice.warmth(drive.now, back) == 1.0
+    back.failures, back.failing_since = 5, drive.now - 9000.0
+    drive.gate.host_choice.answered(drive.now, back, 1.0)
+    assert drive.gate.host_choice.warmth(drive.now, back) < 1.0
 
 
 def test_a_request_without_time_left_is_answered_at_once() -> None:
@@ -947,13 +952,13 @@
     _, got = drive.arrive(0)
     drive.count(of(got, it.Count)[0], 9.0)
     send = of(drive.done, it.Send)[0]
-    crowd = drive.gate.crowd
+    crowd = drive.gate.calls.load.value
     _, got = drive.arrive(0)
     call = of(got, it.Count)[0]
     drive.now += 2000.0
     drive.end(send, it.Outcome.OK, elapsed=2000.0)
     drive.feed(it.CountAnswered(call.name, it.Outcome.TIMEOUT, 0.0, 2000.0))
-    assert not drive.gate.tiers.answers and drive.gate.crowd == crowd
+    assert not drive.gate.tiers.answers.by_host and drive.gate.calls.load.value == crowd
     number, got = drive.arrive(0, patience=30.0)
     assert got == [it.Refuse(number)]
 
@@ -980,7 +985,7 @@
     """A day with a slow counter: a busy customer always had a call out, and each drew the next ones."""
     drive = Drive(settings())
     first = of(drive.arrive()[1], it.Count)
-    drive.gate.crowd, drive.gate.crowd_at = 4.0, drive.now
+    drive.gate.calls.load.value, drive.gate.calls.load.at = 4.0, drive.now
     held = sum(1 for _ in range(100) if not drive.arrive()[1])
     assert first and held < 20, "the mirror decides on most of them at once"
 
@@ -988,7 +993,7 @@
 def test_thinned_calls_tell_just_what_was_let_in() -> None:
     """A slow counter: calls that stood for those left out counted up to half a burst for one try."""
     drive = Drive(settings(), now=begins(8))  # nothing has run over
-    drive.gate.crowd, drive.gate.crowd_at = 0.6, drive.now  # one call in four
+    drive.gate.calls.load.value, drive.gate.calls.load.at = 0.6, drive.now  # one call in four
     sent, told = 0, 0.0
     for _ in range(60):
         actions = drive.arrive()[1]
@@ -998,29 +1003,29 @@
             told += sum(call.amount for call in calls)
             actions = [a for call in calls for a in drive.count(call, told)]
         drive.now += 100.0
-    who = drive.gate.customers[1]
-    assert told + who.pending == sent and 0 < told < sent + 1
+    customer = drive.gate.customers[1]
+    assert told + customer.unreported == sent and 0 < told < sent + 1
 
 
 def test_calls_go_where_they_teach_most() -> None:
     """A slow counter: a full store and fresh news need no call; an empty one and long silence do."""
     drive = Drive(settings())
-    who = drive.gate._customer(drive.now, it.Arrived(1, drive.now + 5000.0, 1, 0, 0, 1.0, 2.0))
-    who.window, who.read_at, who.level = 0, drive.now, PLAN.burst
-    fresh = who.need(drive.now, 1.0)
-    who.level = 0.0
-    spent = who.need(drive.now, 1.0)
-    assert fresh < spent < who.need(drive.now + 5000.0, 1.0) <= 1.0
+    customer = drive.gate.meter.customer(drive.now, it.Arrived(1, drive.now + 5000.0, 1, 0, 0, 1.0, 2.0))
+    customer.window, customer.total_at, customer.level = 0, drive.now, PLAN.burst
+    fresh = quota.news_weight(customer, drive.now, 1.0)
+    customer.level = 0.0
+    spent = quota.news_weight(customer, drive.now, 1.0)
+    assert fresh < spent < quota.news_weight(customer, drive.now + 5000.0, 1.0) <= 1.0
 
 
 def test_what_a_counter_turned_away_is_told_again_and_an_outage_leaves_a_full_store_at_most() -> None:
     drive = Drive(settings())
     (call,) = of(drive.arrive()[1], it.Count)
     drive.count(call, 0.0, it.Outcome.FULL)
-    who = drive.gate.customers[1]
-    assert who.pending == 1.0
-    who.pending = 1000.0
-    drive.gate.crowd = 0.0
+    customer = drive.gate.customers[1]
+    assert customer.unreported == 1.0
+    customer.unreported = 1000.0
+    drive.gate.calls.load.value = 0.0
     (call,) = of(drive.arrive()[1], it.Count)
     assert call.amount <= 1.0 + PLAN.burst
 
@@ -1045,8 +1050,8 @@
     drive.feed(it.RequestGone(waiting))
     assert not of(drive.end(sends[0], it.Outcome.OK), it.Send)
     (customer,) = drive.gate.customers.values()
-    assert customer.out == 0 and not customer.queue
-    assert len(of(drive.arrive(spread=2.0)[1], it.Send)) == 1 and customer.out == 1
+    assert customer.open_attempts == 0 and not customer.slot_queue
+    assert len(of(drive.arrive(spread=2.0)[1], it.Send)) == 1 and customer.open_attempts == 1
 
 
 def test_a_keyed_repeat_that_is_held_for_want_of_a_host_is_given_up_with_its_window() -> None:
@@ -1058,10 +1063,10 @@
     zone = drive.gate.hosts[send.host].zone
     drive.feed(it.HostList(it.ListKind.DELTA, (it.HostEntry(send.host, zone, 0, it.HostState.DRAINING),)))
     drive.now += 100.0
-    assert not drive.end(send, it.Outcome.ERROR) or number in drive.gate.parked
-    assert of(drive.beats(300.0), it.Fail) == [it.Fail(number)]
+    assert not drive.end(send, it.Outcome.ERROR) or number in drive.gate.attempts.parked
+    assert of(drive.run_for(300.0), it.Fail) == [it.Fail(number)]
     back = drive.feed(it.HostList(it.ListKind.DELTA, (it.HostEntry(9, zone, 0, it.HostState.READY),)))
-    assert not of(back + drive.beats(500.0), it.Send)
+    assert not of(back + drive.run_for(500.0), it.Send)
 
 
 def test_a_refusal_by_a_total_says_when_the_store_holds_the_units_again() -> None:
@@ -1070,8 +1075,8 @@
     (call,) = of(got, it.Count)
     late = it.CountAnswered(call.name, it.Outcome.OK, 60.0, 2.0)  # far more than was filled so far
     (refusal,) = of(drive.feed(late), it.Refuse)
-    who = drive.gate.customers[1]
-    assert refusal.backoff == (1.0 - who.level) * 1000 / PLAN.rate > 0
+    customer = drive.gate.customers[1]
+    assert refusal.backoff == (1.0 - customer.level) * 1000 / PLAN.rate > 0
 
 
 def test_a_refusal_without_a_total_names_no_time() -> None:
@@ -1088,9 +1093,9 @@
     drive.end(send, it.Outcome.OK)
     keep = drive.gate.customers[1].keep_ms
     assert PLAN.burst / PLAN.rate * 1000 < keep <= 30_000
-    drive.beats(keep - 2000.0)
+    drive.run_for(keep - 2000.0)
     assert 1 in drive.gate.customers
-    drive.beats(60_000.0)
+    drive.run_for(60_000.0)
     assert not drive.gate.customers
 
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -12,7 +12,8 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.logic import Customer
+from rainturn.counts import units_name
+from rainturn.decisions import quota
 from rainturn.node import client_commands, client_connection, client_timeouts
 from rainturn.node.gateway import Attempt
 from rainturn.node.host_connection import HostConnection
@@ -421,7 +422,7 @@
 def test_a_request_whose_client_left_while_it_waited_is_not_sent_on_and_gives_back_what_it_held(
     what: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(Customer, "put_right", lambda *_: None)  # tells of a window that began before
+    monkeypatch.setattr(quota, "reconcile", lambda *_: None)  # tells of a window that began before
 
     async def main() -> None:
         release, totals = asyncio.Event(), Totals()
@@ -456,8 +457,8 @@
             while len(node.requests) > (what == "another"):
                 await asyncio.sleep(0.01)
             assert world.hosts[0].commands.empty() and not node.module.open
-            total = totals.totals[b"%d" % node.module._name(customer, customer.window)]
-            assert total + customer.pending == (1 if what == "another" else 0)  # that one came to a host
+            total = totals.totals[b"%d" % units_name(customer.key, customer.window)]
+            assert total + customer.unreported == (1 if what == "another" else 0)  # that one came to a host
 
     run(main())
 
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -243,7 +243,7 @@
     drive = Drive(settings(counter=False, limits=LIMITS), fleet=3)
     assert (drive.gate.listed(), drive.gate.skipped(), drive.gate.ready(drive.now)) == (3, 0, True)
     for customer in range(40):
-        drive.beats(3000.0)
+        drive.run_for(3000.0)
         # Three at once, so that each host gets one; more come as further attempts.
         sends = [(0, send) for _ in range(3) for send in of(drive.arrive(customer=customer)[1], it.Send)]
         for attempt, send in sends:
--- a/tests/test_node_crowd.py
+++ b/tests/test_node_crowd.py
@@ -17,7 +17,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.logic import Gateway
+from rainturn.decisions import Gateway
 from rainturn.node.discovery import parse_address
 from rainturn.settings import settings_from
 from tests.sockets import WIRE, Client, Held, Peer, Totals, World, control, entry, run, served, soon
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -225,7 +225,7 @@
             await soon(world.hosts[leaves].connected.get())
             await soon(world.hosts[leaves].closed.get())
             assert world.hosts[leaves].commands.empty()
-            assert not any(host.fails for host in world.parts.node.module.hosts.values())
+            assert not any(host.failures for host in world.parts.node.module.hosts.values())
 
     run(main())
 
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -344,17 +344,21 @@
     drive = Drive(settings(counter=False, limits=LIMITS), fleet=2)
     send = _one(drive, whole=False)
     host = drive.gate.hosts[send.host]
-    assert host.out == 0
-    assert not of(drive.beats(4000.0), it.Cancel) and host.fails == 0  # an upload of four seconds
+    assert host.open_attempts == 0
+    assert not of(drive.run_for(4000.0), it.Cancel) and host.failures == 0  # an upload of four seconds
     drive.feed(it.BodyWhole(send.request, drive.now + 5000))
-    assert host.out == 1
+    assert host.open_attempts == 1
     drive.now += 100.0
     drive.feed(it.StreamBegan(send.request, 0))
-    assert host.out == 0
-    usual = host.lat
-    assert not of(drive.beats(4000.0), it.Cancel) and host.fails == 0  # a value of four seconds
+    assert host.open_attempts == 0
+    usual = host.latency
+    assert not of(drive.run_for(4000.0), it.Cancel) and host.failures == 0  # a value of four seconds
     drive.feed(it.AttemptEnded(send.request, 0, send.host, it.Outcome.OK, 4100.0, True))
-    assert (host.out, host.lat) == (0, usual) and not drive.gate.open and not drive.gate.leaving
+    assert (
+        (host.open_attempts, host.latency) == (0, usual)
+        and not drive.gate.open
+        and not drive.gate.attempts.ended
+    )
 
 
 @pytest.mark.parametrize("outcome", [it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.RESET])
@@ -366,4 +370,4 @@
     end = it.AttemptEnded(send.request, 1, again[0].host, outcome, 50.0, False, spent=True)
     ended: list[Any] = drive.feed(end)
     assert not of(ended, it.Send) and of(ended, it.Refuse)
-    assert all(host.out == 0 for host in drive.gate.hosts.values())
+    assert all(host.open_attempts == 0 for host in drive.gate.hosts.values())
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -19,6 +19,7 @@
 
 from rainturn import interface as it
 from rainturn.node.handover import NOTE, STATE, Handover, inherited
+from rainturn.state import StateMismatch, restore_state, save_state
 from tests.helpers import PLAN, Drive, of, settings
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, control, entry, run, served, soon
 
@@ -217,7 +218,7 @@
     total, sent = 0.0, 0
     old, new = _pair()
     for drive in (old, new):
-        drive.feed(it.Twin(True))
+        drive.feed(it.ProcessOverlap(True))
     for drive in (old, new, old, new, new):
         calls = of(drive.arrive(patience=500.0)[1], it.Count)
         while calls:
@@ -227,7 +228,7 @@
             sent += len(of(actions, it.Send))
             calls += of(actions, it.Count)
     assert sent == 3
-    held = old.gate.customers[1].out, new.gate.customers[1].out
+    held = old.gate.customers[1].open_attempts, new.gate.customers[1].open_attempts
     assert sum(held) == 3 and all(held)
 
 
@@ -240,9 +241,9 @@
         actions = old.count(call, total)
     assert of(actions, it.Send)
     bad = old.gate.hosts[2]
-    bad.fails, bad.failing = 2, old.now
-    state = json.loads(json.dumps(old.gate.carried()))
-    new.gate.carry_on(new.now, state)
+    bad.failures, bad.failing_since = 2, old.now
+    state = json.loads(json.dumps(save_state(old.gate)))
+    restore_state(new.gate, new.now, state)
     assert new.gate.customers[7].level == old.gate.customers[7].level
     assert new.gate.customers[7].window == old.gate.customers[7].window
     assert new.gate.skipped() == 1
@@ -260,18 +261,21 @@
         {"hosts": {"1": [1]}},
         {"customers": [[1, 99, 1.0]]},
         {"customers": [[1, 0, 1.0, "x"]]},
-        {"tiers": []},
-        {"typical": [[1.0, float("nan")]]},
-        {"pool": [[1, 2], [3, 4], [5, 6]]},
-        {"crowd": None},
+        {"capacity": []},
+        {"usual_arrivals": []},
+        {"answer_times": [[1.0, float("nan")]]},
+        {"pass_shares": [[1, 2], [3, 4], [5, 6]]},
+        {"counter_load": None},
+        {"version": 1},
+        {"version": None},
     ],
 )
 def test_a_damaged_state_changes_nothing(change: dict[str, Any]) -> None:
     drive = Drive(settings(), fleet=3)
-    before = drive.gate.carried()
-    with pytest.raises((AttributeError, IndexError, KeyError, TypeError, ValueError)):
-        drive.gate.carry_on(drive.now, before | change)
-    assert drive.gate.carried() == before and drive.gate.ready(drive.now)
+    before = dict[str, Any](save_state(drive.gate))
+    with pytest.raises(StateMismatch):
+        restore_state(drive.gate, drive.now, before | change)
+    assert save_state(drive.gate) == before and drive.gate.ready(drive.now)
 
 
 def test_what_the_count_has_not_heard_is_told_before_the_end() -> None:
@@ -279,6 +283,6 @@
     _, actions = drive.arrive()
     while calls := of(actions, it.Count):
         actions = drive.count(calls[0], 24.0)
-    who = drive.gate.customers[1]
-    who.pending = 3.0
-    assert [call.amount for call in of(drive.feed(it.Leaving()), it.Count)] == [3.0]
+    customer = drive.gate.customers[1]
+    customer.unreported = 3.0
+    assert [call.amount for call in of(drive.feed(it.ShuttingDown()), it.Count)] == [3.0]
--- a/tests/test_policy_size.py
+++ b/tests/test_policy_size.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import tomllib
 from pathlib import Path
 
@@ -13,3 +14,25 @@
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     lines = {path: sum(bool(line.strip()) for line in (ROOT / path).open()) for path in deploy["policy"]}
     assert sum(lines.values()) <= MOST_LINES, lines
+
+
+def test_every_file_of_the_decisions_is_named_under_policy() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    files = sorted(str(path.relative_to(ROOT)) for path in (ROOT / "rainturn" / "decisions").rglob("*.py"))
+    assert sorted(deploy["policy"]) == files
+
+
+def test_the_decisions_import_downwards_only() -> None:
+    """No cycles: each file imports only those before it, and nothing that is built on the decisions."""
+    order = ["admission", "hosts", "quota", "attempts", "slots", "metering", "gateway", "__init__"]
+    folder = ROOT / "rainturn" / "decisions"
+    for position, name in enumerate(order):
+        for node in ast.walk(ast.parse((folder / f"{name}.py").read_text())):
+            if not isinstance(node, ast.ImportFrom) or node.module is None:
+                continue
+            assert not node.module.startswith(("rainturn.node", "rainturn.benchlink", "rainturn.state"))
+            module = node.module.removeprefix("rainturn.decisions")
+            used = [module.removeprefix(".")] if module else [alias.name for alias in node.names]
+            for other in used if "rainturn.decisions" in node.module else []:
+                assert order.index(other) < position, f"{name} imports {other}"
+    assert sorted(order) == sorted(path.stem for path in folder.glob("*.py"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from rainturn import interface as it
-from rainturn.logic import Gateway
+from rainturn.decisions import Gateway
 from tests.helpers import LIMITS, settings
 
 UNRUN = (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.MOOT)
@@ -236,7 +236,7 @@
                     now,
                     it.AttemptEnded(
                         send.request,
-                        len(gate.open[send.request].sends) - 1,
+                        len(gate.open[send.request].attempts) - 1,
                         send.host,
                         it.Outcome.ERROR if failed else it.Outcome.OK,
                         50.0,
