Give the fields behind a host's value one time limit together

The connection waits for the fields after a value before it serves again, up to STALL_S without progress. Each byte counted as progress (_finish_answer in rainturn/node/host_connection.py set the timer anew), so a host that sends a byte now and then held the connection, a descriptor and a place in the hosts' budget, for as long as it liked. The limit now runs from the value on, for all fields together. The value itself is served before, as ever.

--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -223,7 +223,11 @@
     def _finish_answer(self) -> None:
         complete = fields(self.buffer, 0, self.fields_expected or 0)
         if complete is None:
-            return self._set_stall_timer(STALL_S, self.close)
+            # One limit for all fields together: nobody waits for them, and a few bytes now and then would
+            # hold the connection for good.
+            if self.stall_timer is None:
+                self._set_stall_timer(STALL_S, self.close)
+            return
         if not complete:
             # Guards against taking bytes that follow a good answer for the answer to the next request.
             return self.close()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -276,6 +276,10 @@
         return b"$%d\r\n%s\r\n" % (len(text), text)
 
 
+def _any(held: Any) -> bool:
+    return any(held) if isinstance(held, tuple) else bool(held)
+
+
 class World:
     """A gateway with hosts that answer by their handlers; `known` is all that it hears of them."""
 
@@ -333,6 +337,28 @@
     async def control(self, path: str, method: str = "GET") -> tuple[int, str]:
         return await control(self.operators, path, method)
 
+    def left_behind(self) -> dict[str, Any]:
+        """All that the gateway holds for clients and for work under way; idle connections are not."""
+        node, pools, module = self.parts.node, self.parts.pools, self.parts.node.module
+        held: dict[str, list[Any]] = {
+            "clients": [self.parts.clients.connections, *self.parts.clients.timeouts.states],
+            "requests": [node.requests, node.ids, node.unanswered, node.held_bytes],
+            "module": [module.open, module.parked, module.leaving],
+            "customers": [(c.out, c.waiting, c.queue) for c in module.customers.values()],
+            "hosts": [host.out for host in module.hosts.values()],
+            "pools": [pools.connecting, *((p.connecting, p.waiting) for p in pools.pools.values())],
+            "busy": [set(p.connections) - set(p.idle) for p in pools.pools.values()],
+        }
+        return {name: left for name, values in held.items() if (left := [v for v in values if _any(v)])}
+
+    async def emptied(self) -> None:
+        """Wait until nothing is left behind; one that stays is shown."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LONG
+        while left := self.left_behind():
+            assert loop.time() < end, left
+            await asyncio.sleep(0.01)
+
     async def figures(self) -> dict[str, int]:
         """The figures by name; the form of every line is checked."""
         status, text = await self.control("/control/counters")
--- a/tests/test_standing_hosts.py
+++ b/tests/test_standing_hosts.py
@@ -3,10 +3,169 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+from typing import Any
 
 import pytest
 
-from tests.sockets import World, entry, run, served
+from rainturn.node import host_connection
+from rainturn.node.gateway import Attempt, Request
+from tests.sockets import WIRE, End, Peer, World, entry, reset, run, served
+
+
+def _alive() -> int:
+    """How many requests and attempts are referred to, as by a timer that was left behind."""
+    gc.collect()
+    return sum(type(found) in (Request, Attempt) for found in gc.get_objects())
+
+
+class Breaking:
+    """Writes a part of an answer to the first command of each id, then ends; answers all others."""
+
+    def __init__(self, part: bytes, end: End) -> None:
+        self.part, self.end, self.seen = part, end, set[bytes]()
+        self.peers: list[Peer] = []
+
+    def of(self, number: int) -> Any:
+        async def handle(words: list[bytes]) -> bytes | None:
+            if words[2] in self.seen:
+                return served()
+            self.seen.add(words[2])
+            writer = await self.peers[number].connected.get()
+            writer.write(self.part)
+            await writer.drain()
+            if self.end is End.RESET:
+                reset(writer)
+            else:
+                writer.close()
+            return None
+
+        return handle
+
+
+@pytest.mark.parametrize("end", list(End))
+@pytest.mark.parametrize("part", [b"*", b"*3\r\n$5\r\nval", b"*3\r\n$5\r\nvalue\r", b"-BUS", b"-BUSY\r", b""])
+def test_half_a_line_before_a_close_may_have_run(part: bytes, end: End) -> None:
+    """A safe request goes on elsewhere, one that must not run twice has failed."""
+
+    async def main() -> None:
+        before = _alive()
+        breaking = Breaking(part, end)
+        async with World(breaking.of(0), breaking.of(1)) as world:
+            breaking.peers = world.hosts
+            client = await world.client()
+            client.ask(b"safe")
+            assert await client.answer() == b"value"
+            client.ask(b"once", b"pay", body=b"x")
+            assert await client.answer() == "-ERR failed"
+            assert sum(host.commands.qsize() for host in world.hosts) == 3
+            client.writer.close()
+            await world.emptied()
+            assert _alive() <= before
+
+    run(main())
+
+
+def test_an_answer_that_drips_and_never_ends_is_given_up_in_its_time_and_leaves_nothing() -> None:
+    """Each byte is progress, so only the request's own time ends it."""
+
+    async def main() -> None:
+        async def drip(words: list[bytes]) -> bytes | None:
+            writer = await world.hosts[0].connected.get()
+            writer.write(b"*3\r\n$60000\r\n")
+            while not writer.is_closing():
+                writer.write(b"x")
+                await asyncio.sleep(0.01)
+            return None
+
+        before = _alive()
+        async with World(drip) as world:
+            client, other = await world.client(), await world.client()
+            client.ask(b"1", wait=600)
+            other.ask(b"2", b"pay", wait=600, body=b"x")
+            assert str(await client.answer()).startswith("-BUSY")  # safe, and every host has been tried
+            assert await other.answer() == "-ERR failed"
+            for closing in (client, other):
+                closing.writer.close()
+            await world.emptied()
+            assert _alive() <= before and not world.parts.pools.open
+
+    run(main())
+
+
+def test_figures_that_drip_behind_a_value_do_not_hold_their_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(host_connection, "STALL_S", 0.2)
+
+    async def main() -> None:
+        async def drip(words: list[bytes]) -> bytes | None:
+            writer = await world.hosts[0].connected.get()
+            writer.write(b"*3\r\n$5\r\nvalue\r\n$60000\r\n")
+            while not writer.is_closing():
+                writer.write(b"x")
+                await asyncio.sleep(0.02)
+            return None
+
+        async with World(drip) as world:
+            client = await world.client()
+            client.ask(b"1")
+            assert await client.answer() == b"value"
+            client.writer.close()
+            await world.emptied()
+            assert not world.parts.pools.open
+
+    run(main())
+
+
+@pytest.mark.parametrize("over", [False, True])
+def test_a_keyed_request_is_repeated_inside_its_window_only(over: bool) -> None:
+    """The window is short, as against the deadline, and the first attempt breaks off inside it or later."""
+
+    async def main() -> None:
+        window = 300 if over else 5000
+        classes = [one | {"window_ms": window, "group": "all"} for one in WIRE["classes"]]
+        first = asyncio.Event()
+
+        async def handler(words: list[bytes]) -> bytes:
+            if first.is_set():
+                return served()
+            first.set()
+            await asyncio.sleep(0.5 if over else 0)
+            return Peer.RESET
+
+        async with World(handler, handler, wire={"classes": classes}) as world:
+            client = await world.client()
+            client.ask(b"1", b"send", extra=b"k=77,", body=b"x")
+            answer = await client.answer()
+            assert str(answer).startswith("-BUSY") if over else answer == b"value"
+            assert sum(host.commands.qsize() for host in world.hosts) == (1 if over else 2)
+            client.writer.close()
+            await world.emptied()
+
+    run(main())
+
+
+def test_every_request_gets_its_answer_in_time_though_no_host_gives_one() -> None:
+    async def main() -> None:
+        before = _alive()
+        async with World(*[lambda words: None] * 3) as world:
+            kinds: list[tuple[bytes, bytes]] = [(b"read", b""), (b"send", b"k=%d,"), (b"pay", b"")]
+            clients = [await world.client() for _ in range(10)]
+            for number, client in enumerate(clients):
+                for kind, key in kinds:
+                    ident = b"%d%s" % (number, kind)
+                    extra = key % number if key else b""
+                    client.ask(ident, kind, 1000, extra, None if kind == b"read" else b"x")
+            for client in clients:
+                read, send, pay = [str(await client.answer()) for _ in kinds]
+                assert read.startswith("-BUSY") and send == pay == "-ERR failed"
+            for client in clients:
+                client.writer.close()
+            await world.emptied()
+            assert _alive() <= before
+
+    run(main())
 
 
 @pytest.mark.parametrize("dial", ["x" * 70 + ":80", "a..b:80"])
