Do not take a client for idle while a command of its is on the way

A connection counted as at rest when no request was open on it, whatever lay in its buffer (_on_all_answered() and close_if_idle() in client_connection.py):

- While connections are closed (SIGTERM, out of service), a command answered without a wait closed its connection although another had come in the same piece.
That one was read, and never answered.
- Half a command behind the last answer did not keep the connection: it was closed under it, or gave way to a new client when descriptors were short.

What is in the buffer now counts: it is served first, or its own limit in time ends it, and the connection rests when the buffer is empty.

tests/test_standing_clients.py (new), 26 tests; five of them fail without this change (a command that came with the last one, three cases; one that has begun to come; a client in the middle of a command). The others pass without it: single bytes, slow bodies, a request that comes as its connection closes, floods of seven kinds whose client then goes, clients that go as they are accepted.

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -107,6 +107,8 @@
             del self.timeouts.incomplete[self]
         self.timeouts.uploading.pop(self, None)
         self._update_reading()
+        if not (self.pending or self.buffer or self.closing or self.transport.is_closing()):
+            self._on_all_answered()
 
     def _begin_body(self, body: Body) -> None:
         """Begin a command with a body: at once if that is passed on, else when it is whole.
@@ -281,6 +283,8 @@
             self.transport.write_eof()
             self.timeouts.idle.pop(self, None)
             self.timeouts.enter(self.timeouts.lingering, self)
+        elif self.buffer:
+            return  # a command has begun to come, or is parsed next
         elif self.owner.draining:
             self.close_if_idle()
         elif self.proven:
@@ -303,12 +307,12 @@
     # The end.
 
     def close_if_idle(self) -> None:
-        """Close between requests; one that has come and is not read yet is served first."""
-        if self.transport.is_closing():
+        """Close between requests; one that has begun to come, read or not, is served first."""
+        if self.pending or self.buffer or self.body is not None or self.transport.is_closing():
             return
         unread_input = select.poll()
         unread_input.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not self.pending and self.body is None and not unread_input.poll(0):
+        if not unread_input.poll(0):
             self.transport.close()
 
     def here(self) -> bool:
