Give each command its own time to come whole

The limit of 2.5 s for half a command ran from the first time that a read ended in the middle of one, and was taken back only by a read that ended between two commands (_parse() in client_connection.py). A client whose commands follow each other closely, cut anywhere, was ended after 2.5 s with "the command did not come whole in time", though each of its commands came whole in much less; what it had sent behind was dropped. The limit starts anew now when a command has become whole.

Test: test_commands_that_are_cut_anywhere_each_have_their_own_time fails without this change.

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -101,6 +101,8 @@
             self.parsing = False
         self.buffer = b"" if self.closing else data[at:] if at else data
         if incomplete:
+            if at:
+                self.timeouts.incomplete.pop(self, None)  # that was another command, and is whole
             self.timeouts.idle.pop(self, None)
             self.timeouts.enter(self.timeouts.incomplete, self)
         elif self in self.timeouts.incomplete:
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -83,6 +83,23 @@
     run(main())
 
 
+def test_commands_that_are_cut_anywhere_each_have_their_own_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client that is always in the middle of a command is not one that never ends its first."""
+    monkeypatch.setattr(client_timeouts, "COMMAND_S", 1.0)
+
+    async def main() -> None:
+        async with World(lambda words: served(words[2])) as world:
+            client = await world.client()
+            client.writer.write(_read(b"0")[:50])
+            for n in range(15):
+                await asyncio.sleep(0.1)
+                client.writer.write(_read(b"%d" % n)[50:] + _read(b"%d" % (n + 1))[:50])
+                assert await client.answer() == b"%d" % n
+            await _close(world, client)
+
+    run(main())
+
+
 @pytest.mark.parametrize("first", [PING, pack([b"NONSENSE"]), _read(b"1")])
 def test_a_command_that_came_with_the_last_one_is_answered_before_the_connection_closes(first: bytes) -> None:
     """Both are in one piece, the first is answered without a wait, and connections are being closed."""
