Answer the requests before a value that shows as broken

A long value may come from its host while earlier requests of the same connection are open; its pieces wait for their turn. When its end showed that its length was not true, cut() in client_replies.py closed the connection as if a part of the value had been written: the requests before it were lost, and those behind it. Nothing of it has gone out at that point, so it now fails as any other request, in its turn, and the connection serves on. (A value that breaks off later than its first read is not affected: nothing more is read of it before its turn.)

Test: test_requests_before_a_value_that_shows_as_broken_are_answered_all_the_same fails without this change: the first answer is the end of the connection.

--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -56,7 +56,14 @@
         self._answer(request, b"\r\n")
 
     def cut(self, request: Request) -> None:
-        """Close after what has come of a long value, so that the client sees that it is short."""
+        """Close after what has come of a long value, so that the client sees that it is short.
+
+        Guards against the requests before it being lost: while it waits for its turn nothing of it has gone
+        out, and it fails as any other request.
+        """
+        if self.pending and self.pending[0] is not request:
+            request.parts.clear()
+            return self.failed(request)
         self.closing = True
         self.transport.close()
 
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -16,6 +16,7 @@
 from rainturn.node.gateway import Attempt, Request
 from rainturn.node.resp import pack
 from tests.sockets import WIRE, Client, Held, World, run, served, soon
+from tests.test_node_size import Raw
 
 CUSTOMER = b"00000000b4d65521"
 PING = pack([b"PING"])
@@ -186,6 +187,35 @@
     run(main())
 
 
+def test_requests_before_a_value_that_shows_as_broken_are_answered_all_the_same() -> None:
+    """The value has come from its host, in one read, and nothing of it has been written to the client yet."""
+
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            raw = await Raw().start()
+            world.parts.pools.pools[1].address = raw.server.sockets[0].getsockname()
+            client = await world.client()
+            client.ask(b"1")
+            _, first = await raw.next(world)
+            client.ask(b"2")
+            _, second = await raw.next(world)
+            while len(world.parts.node.requests) < 2 or not world.parts.pools.pools[1].connections:
+                await asyncio.sleep(0)
+            broken = served(bytes(70_000)).replace(b"$70000", b"$69990")
+            assert os.write(second.get_extra_info("socket").fileno(), broken) == len(broken)
+            while len(world.parts.node.requests) > 1:
+                await asyncio.sleep(0.001)
+            first.write(served())
+            assert await client.answer() == b"value"
+            assert await client.answer() == "-ERR failed"
+            client.send(b"PING")
+            assert await client.answer() == b"PONG"
+            await _close(world, client)
+            raw.server.close()
+
+    run(main())
+
+
 def _leave(sock: socket.socket, how: str) -> None:
     if how == "reset":
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
