Serve a request that has come when its connection's time to speak is over

When the loop came late, a client that had rested for 6 s, or a new one that had said nothing for 2.5 s, was cut off although its request lay unread in the system: it had to be sent again, and the first request of a new connection had failed. A known client with such input rests anew once it is answered; a new one has to have sent a command that can be served when the sockets have been read once.

Test: test_a_request_that_has_come_when_its_connection_has_rested_too_long_is_served fails in both cases without this change (the client gets a reset).

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -55,11 +55,14 @@
         self.parsing = False  # guards against parsing again from within a command
         self.liveness_timer: asyncio.TimerHandle | None = None  # set while reading is paused
         self.hangup_poll = select.poll()  # shows the client's end, also behind what is not read yet
+        self.input_poll = select.poll()  # shows bytes that are not read yet
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the time in which a new client has to send something that can be served."""
         self.transport = cast(asyncio.Transport, transport)
-        self.hangup_poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        descriptor = transport.get_extra_info("socket").fileno()
+        self.hangup_poll.register(descriptor, select.POLLRDHUP)
+        self.input_poll.register(descriptor, select.POLLIN)
         self.timeouts.enter(self.timeouts.unproven, self)
 
     # Reading.
@@ -246,6 +249,21 @@
         """Close at once."""
         self.transport.abort()
 
+    def abort_if_silent(self) -> None:
+        """Close a connection that has sent nothing for too long.
+
+        Guards against a request that came in time being cut off when the loop is late: time limits run
+        before sockets are read. After the next read a proven client is idle anew; another has to be proven.
+        """
+        if not self.has_unread_input():
+            self.abort()
+        elif not self.proven:
+            self.node.loop.call_later(0, self._abort_if_unproven)
+
+    def _abort_if_unproven(self) -> None:
+        if not (self.proven or self.closing):
+            self.abort()
+
     def reject_incomplete(self) -> None:
         """Guards against half a command, or a line without end, holding a connection."""
         self._reject("the command did not come whole in time")
@@ -312,11 +330,13 @@
         """Close between requests; one that has begun to come, read or not, is served first."""
         if self.pending or self.buffer or self.body is not None or self.transport.is_closing():
             return
-        unread_input = select.poll()
-        unread_input.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not unread_input.poll(0):
+        if not self.has_unread_input():
             self.transport.close()
 
+    def has_unread_input(self) -> bool:
+        """Whether bytes of the client, or its end, lie in the system and the loop has yet to read them."""
+        return not self.transport.is_closing() and bool(self.input_poll.poll(0))
+
     def here(self) -> bool:
         """Whether the client is still connected; if not, its requests end now. Asked before each attempt.
 
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -23,6 +23,9 @@
     def abort(self) -> None:
         """Close at once."""
 
+    def abort_if_silent(self) -> None:
+        """Close at once, unless something has come that is not read yet."""
+
     def reject_incomplete(self) -> None:
         """End a command that did not come whole in time, with an error."""
 
@@ -116,8 +119,8 @@
                 self.error_queued, QUEUED_ERROR_S, lambda connection: connection.end_pending_requests()
             ),
             TimeLimit(self.incomplete, COMMAND_S, lambda connection: connection.reject_incomplete()),
-            TimeLimit(self.unproven, self.unproven_s, lambda connection: connection.abort()),
-            TimeLimit(self.idle, IDLE_S, lambda connection: connection.abort()),
+            TimeLimit(self.unproven, self.unproven_s, lambda connection: connection.abort_if_silent()),
+            TimeLimit(self.idle, IDLE_S, lambda connection: connection.abort_if_silent()),
             TimeLimit(self.lingering, LINGER_S, lambda connection: connection.abort()),
             TimeLimit(self.uploading, BODY_STALL_S, lambda connection: connection.reject_incomplete()),
             TimeLimit(self.unread, UNREAD_S, lambda connection: connection.check_unread()),
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -187,6 +187,32 @@
     run(main())
 
 
+@pytest.mark.parametrize("rests", [True, False])
+def test_a_request_that_has_come_when_its_connection_has_rested_too_long_is_served(
+    rests: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of a known client and of a new one: the loop was late, and the limit in time is looked at first."""
+
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            client = await world.client()
+            if rests:
+                client.send(b"PING")
+                assert await client.answer() == b"PONG"
+            timeouts = world.parts.clients.timeouts
+            while not (timeouts.idle if rests else timeouts.unproven):
+                await asyncio.sleep(0)
+            _now(client, _read(b"1"))
+            monkeypatch.setattr(client_timeouts, "IDLE_S", -1.0)
+            timeouts.unproven_s = -1.0
+            timeouts._sweep()
+            monkeypatch.undo()
+            assert await client.answer() == b"value"
+            await _close(world, client)
+
+    run(main())
+
+
 def test_requests_before_a_value_that_shows_as_broken_are_answered_all_the_same() -> None:
     """The value has come from its host, in one read, and nothing of it has been written to the client yet."""
 
