Accept the clients that wait behind one that has already gone

Where the system reports a connection that ended before it was accepted (ECONNABORTED), _accept_one() in rainturn/node/clients.py reported that nothing waits. At a shutdown the listener was closed then, and whoever waited behind that client was reset.

Test: test_a_connection_that_was_ended_before_it_was_accepted_does_not_keep_out_those_behind_it fails without this change. The kernel used here accepts such connections without an error, so the test stands a listener in for one that reports it.

--- a/rainturn/node/clients.py
+++ b/rainturn/node/clients.py
@@ -72,7 +72,7 @@
     def _accept_one(self) -> bool:
         """Accept a connection, in place of the least active one if the budget is used up.
 
-        Returns whether there was one and it could be accepted.
+        Returns whether another one may wait that can be accepted.
         """
         if self.listener is None:
             return False
@@ -82,8 +82,10 @@
             return False
         try:
             sock, _ = self.listener.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+        except (BlockingIOError, InterruptedError):
             return False
+        except ConnectionAbortedError:
+            return True  # that client has gone already; others may wait behind it
         except OSError as error:
             # Guards against EMFILE ending the accepting for good, or filling the loop with failures.
             log.warning("accept: %s", errno.errorcode.get(error.errno or 0, "error"))
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -316,3 +316,33 @@
                 await asyncio.sleep(0.01)
 
     run(main())
+
+
+def test_a_connection_that_was_ended_before_it_was_accepted_does_not_keep_out_those_behind_it() -> None:
+    """Some systems say so at the accept."""
+
+    async def main() -> None:
+        async with World(lambda words: served()) as world:
+            listener: Any = world.parts.clients.listener
+
+            class Ended:
+                failed = False
+
+                def accept(self) -> Any:
+                    if not self.failed:
+                        self.failed = True
+                        raise ConnectionAbortedError
+                    return listener.accept()
+
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(listener, name)
+
+            sock = socket.create_connection(world.address)
+            sock.send(PING)
+            world.parts.clients.listener = Ended()  # type: ignore[assignment]
+            world.parts.clients.stop(True)
+            client = Client(*await asyncio.open_connection(sock=sock))
+            assert await client.answer() == b"PONG"
+            await _close(world, client)
+
+    run(main())
