Let no client give way to a new one whose next command has come

When descriptors are short the client that has been silent for longest is closed for a new one (least_active() in client_timeouts.py). Its next request could lie unread in the system, as accepts come before reads in a turn of the loop: the close reset it, and it had to be sent again. Who has unread input is passed over now; the look is made only when the budget is used up.

Test: test_a_client_whose_next_request_has_come_does_not_give_way_to_a_new_one fails without this change (the client gets a reset).

--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import chain
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
 SWEEP_S = 0.25  # interval of the sweep; each limit below is that much under what clients are owed
@@ -20,6 +21,9 @@
 class TimedConnection(Protocol):
     """What the sweep does with a connection whose time in a state is over."""
 
+    def has_unread_input(self) -> bool:
+        """Whether bytes have come that are not read yet."""
+
     def abort(self) -> None:
         """Close at once."""
 
@@ -92,11 +96,12 @@
 
         Guards against connections that are opened and left silent pushing out clients that are served: one
         that has been told to go comes first, then one that never proved itself, then the one idle longest.
+        One whose next command has come, read or not, is left alone.
         """
-        for state in (self.lingering, self.unproven, self.idle):
-            if state:
-                return next(iter(state))
-        return None
+        if self.lingering:
+            return next(iter(self.lingering))
+        silent = (c for c in chain(self.unproven, self.idle) if not c.has_unread_input())
+        return next(silent, None)
 
     def start(self) -> None:
         """Begin to sweep."""
--- a/rainturn/node/clients.py
+++ b/rainturn/node/clients.py
@@ -76,7 +76,8 @@
         """
         if self.listener is None:
             return False
-        full, least_active = len(self.connections) >= self.budget, self.timeouts.least_active()
+        full = len(self.connections) >= self.budget
+        least_active = self.timeouts.least_active() if full else None
         if full and least_active is None:
             self._pause_accepting()  # until a client leaves or is idle
             return False
@@ -92,7 +93,7 @@
             self._pause_accepting()
             self.node.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
             return False
-        if full and least_active is not None:
+        if least_active is not None:
             self._forget(least_active)
             least_active.abort()
         sock.setblocking(False)
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -346,3 +346,26 @@
             await _close(world, client)
 
     run(main())
+
+
+def test_a_client_whose_next_request_has_come_does_not_give_way_to_a_new_one() -> None:
+    """Descriptors are short, and the one that has rested longest is no longer at rest."""
+
+    async def main() -> None:
+        async with World(lambda words: served(words[2])) as world:
+            world.parts.clients.budget = 2
+            first, second = await world.client(), await world.client()
+            for client in (first, second):
+                client.send(b"PING")
+                assert await client.answer() == b"PONG"
+            sock = socket.create_connection(world.address)
+            _now(first, _read(b"1"))
+            world.parts.clients._accept_batch()
+            assert await first.answer() == b"1"
+            assert await soon(second.reader.read()) == b""
+            third = Client(*await asyncio.open_connection(sock=sock))
+            third.ask(b"3")
+            assert await third.answer() == b"3"
+            await _close(world, first, third)
+
+    run(main())
