Measure the request path, the counter's traffic and a fleet's faults in the scale run

Now it also has a real gateway's request path against hosts (processor time a request, added time with and without changes), the counter's calls and bytes against the requests of a gateway and against tenants, memory against customers, and the faults: a zone with a twelfth of gateways and hosts lost and returned at once, a restart storm, a slow list service, and the counter cut off from a region. The counter's parts run on a virtual clock with a network in memory, so that minutes pass in seconds and the same seed gives the same counts; the real counter and discovery clients run on it unchanged.

The clients' stand-in took a value that is not in an array for a failure; it counts as served now, as the protocol says.

--- a/rainturn/emulator/__main__.py
+++ b/rainturn/emulator/__main__.py
@@ -13,7 +13,7 @@
 from rainturn.emulator.scale import run_scale
 
 BAD_ARGUMENT, FAILED, INTERRUPTED = 2, 1, 130
-QUICK_WINDOW_S, WINDOW_S = 2.0, 8.0  # multiples of how long a gateway's watch of the host list waits
+QUICK_WINDOW_S, WINDOW_S = 2.0, 6.0  # multiples of how long a gateway's watch of the host list waits
 LEAST = 16  # of gateways and hosts: four sizes that double lie below them
 
 
--- a/rainturn/emulator/client_load.py
+++ b/rainturn/emulator/client_load.py
@@ -118,10 +118,11 @@
             self.idle.remove(connection)
 
     def answered(self, answer: object, took_s: float) -> None:
-        """Book an answer."""
-        if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
+        """Book an answer: a value, by itself or first of an array, is served."""
+        value = answer[0] if isinstance(answer, list) and answer else answer
+        if isinstance(value, bytes):
             self.ended_as["served"] += 1
-            self.added_us.record_value(max(1, int(took_s * 1e6) - int(answer[0])))
+            self.added_us.record_value(max(1, int(took_s * 1e6) - int(value)))
         elif isinstance(answer, hiredis.ReplyError) and str(answer).split(" ")[0] == "BUSY":
             self.ended_as["refused"] += 1
         else:
--- a/rainturn/emulator/discovery_service.py
+++ b/rainturn/emulator/discovery_service.py
@@ -150,13 +150,15 @@
         self._free_at = 0.0  # loop time at which a slow service has answered all calls before
         self._reached = asyncio.Event()
 
+    def accept(self, label: str) -> DiscoveryConnection:
+        """The protocol of a new connection at the address of `label`."""
+        return DiscoveryConnection(self, self.traffic.setdefault(label, Traffic()))
+
     async def listen(self, label: str) -> tuple[str, int]:
         """Listen on a free loopback port; what passes there counts under `label`."""
-        traffic = self.traffic.setdefault(label, Traffic())
+        self.traffic.setdefault(label, Traffic())
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: DiscoveryConnection(self, traffic), LOOPBACK, 0, backlog=4096
-        )
+        server = await loop.create_server(lambda: self.accept(label), LOOPBACK, 0, backlog=4096)
         self.servers.append(server)
         host, port = server.sockets[0].getsockname()
         return host, port
--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self.ended_as: Tally[str] = Tally()
+        self.refusing: Callable[[Request], None] | None = None  # called with each request that is refused
 
     def here(self) -> bool:
         """A synthetic client never leaves early."""
@@ -54,6 +55,8 @@
     def refused(self, request: Request, backoff_ms: float) -> None:
         """Count a refusal."""
         self.ended_as["refused"] += 1
+        if self.refusing is not None:
+            self.refusing(request)
 
     def failed(self, request: Request) -> None:
         """Count a failure."""
@@ -83,13 +86,9 @@
     units.
     """
 
-    def __init__(
-        self,
-        node: Node,
-        rng: random.Random,
-        arrived: Callable[[Request], None] | None = None,
-    ) -> None:
-        self.node, self.rng, self.arrived = node, rng, arrived
+    def __init__(self, node: Node, rng: random.Random) -> None:
+        self.node, self.rng = node, rng
+        self.arrived: Callable[[Request], None] | None = None
         self.out: dict[Attempt, asyncio.TimerHandle] = {}
 
     def start(self, attempt: Attempt) -> None:
@@ -122,7 +121,6 @@
         addresses: Addresses,
         seed: int,
         clock: Clock | None = None,
-        arrived: Callable[[Request], None] | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         settings = settings_from(wire_settings(number, gateways))
@@ -131,7 +129,7 @@
         self.node = Node(settings, seed, clock or Clock(), loop)
         # The list is held as in a real gateway; nothing connects through these pools.
         pools = HostPools(self.node, IDLE_LIMIT_MS, 0)
-        self.node.hosts = DrawnHosts(self.node, self.rng, arrived)
+        self.hosts = self.node.hosts = DrawnHosts(self.node, self.rng)
         self.counter = self.node.counter = Counter(self.node, addresses.counter)
         self.discovery = Discovery(self.node, pools, tuple(zone_names()), addresses.discovery, seed)
         self.client = SyntheticClient()
--- a/rainturn/emulator/load.py
+++ b/rainturn/emulator/load.py
@@ -25,8 +25,10 @@
         requests_per_second: float,
         seed: int,
         take: Callable[[Draw], None],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.tenants, self.rate, self.take = tenants, requests_per_second, take
+        self.clock = clock  # s
         self.rng = random.Random(seed)
         self.drawn = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -34,7 +36,7 @@
 
     def start(self) -> None:
         """Begin."""
-        self._next_at = time.monotonic() + self.rng.expovariate(self.rate)
+        self._next_at = self.clock() + self.rng.expovariate(self.rate)
         self._tick()
 
     def stop(self) -> None:
@@ -44,7 +46,7 @@
             self._timer = None
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = self.clock()
         while self._next_at <= now:
             self.drawn += 1
             self.take(self.tenants.draw(self.rng))
--- a/rainturn/emulator/traffic.py
+++ b/rainturn/emulator/traffic.py
@@ -28,6 +28,10 @@
         """What has passed between an earlier reading and this one."""
         return Traffic(*(getattr(self, f.name) - getattr(earlier, f.name) for f in fields(self)))
 
+    def plus(self, other: Traffic) -> Traffic:
+        """Both together."""
+        return Traffic(*(getattr(self, f.name) + getattr(other, f.name) for f in fields(self)))
+
     def copy(self) -> Traffic:
         """A reading that does not go on counting."""
         return self.since(Traffic())
--- a/tests/test_emulator_scale.py
+++ b/tests/test_emulator_scale.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import psutil
@@ -16,6 +17,7 @@
 from rainturn.emulator.measurements import ScaleResult
 from rainturn.emulator.real_gateway import ROOT, run_command
 from rainturn.emulator.report import write_json
+from rainturn.emulator.request_series import Bench, measure_requests
 from rainturn.emulator.scale import run_scale
 from rainturn.emulator.workers import Trouble, WorkerFailed
 
@@ -69,6 +71,23 @@
     assert by_name["request_cpu"]["explanation"]
 
 
+def test_the_faults_of_a_tiny_run_are_told(tiny: dict[str, object]) -> None:
+    faults = tiny["faults"]
+    assert isinstance(faults, list)
+    played = {fault["name"].split(",")[0] for fault in faults}
+    assert played >= {"zone lost", "zone back", "restart storm", "slow list service", "counter partitioned"}
+    storm = {f["quantity"]: f["value"] for f in faults if f["name"] == "restart storm"}
+    assert storm["whole_lists"] == 11  # seven in ten of 16
+
+
+def test_a_real_gateway_is_measured_with_and_without_changes() -> None:
+    with Lab(replace(TINY, window_s=1.0), lambda text: None, 30.0) as lab:
+        found = measure_requests(Bench(lab, 60.0), 20)
+    assert found["request_cpu"] > 0 and found["process_memory"] > 5
+    assert 0 < found["added_p50"] <= found["added_p99"]
+    assert 0 < found["added_p50_with_changes"] <= found["added_most_with_changes"]
+
+
 @pytest.mark.parametrize(
     "words",
     [
