Tests: look at the tables of the decision package as they are named now

World.left_behind() in tests/sockets.py read the module's tables by the names that they had before the decision module became a package; the two changes met on main, and the tests that call it failed there with an AttributeError.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -340,12 +340,13 @@
     def left_behind(self) -> dict[str, Any]:
         """All that the gateway holds for clients and for work under way; idle connections are not."""
         node, pools, module = self.parts.node, self.parts.pools, self.parts.node.module
+        attempts = module.attempts
         held: dict[str, list[Any]] = {
             "clients": [self.parts.clients.connections, *self.parts.clients.timeouts.states],
             "requests": [node.requests, node.ids, node.unanswered, node.held_bytes],
-            "module": [module.open, module.parked, module.leaving],
-            "customers": [(c.out, c.waiting, c.queue) for c in module.customers.values()],
-            "hosts": [host.out for host in module.hosts.values()],
+            "module": [attempts.open, attempts.parked, attempts.ended],
+            "customers": [(c.open_attempts, c.waiting, c.slot_queue) for c in module.customers.values()],
+            "hosts": [host.open_attempts for host in module.hosts.values()],
             "pools": [pools.connecting, *((p.connecting, p.waiting) for p in pools.pools.values())],
             "busy": [set(p.connections) - set(p.idle) for p in pools.pools.values()],
         }
