Take a large host list in steps, and work only for hosts that changed

Cause: an answer of discovery was decoded and applied in one go, with work for each entry whether it had changed or not: 134 ms of processor time on end at 17,000 hosts (44 to decode, 91 to apply, the module's own part not counted). A host that went for good cost a search through all hosts for others of its block. A list had to come whole within the time-out of a small one, and 4 MiB was the most that could be taken.

The event loop serves requests between steps. A list that came whole is applied to its end also when SIGHUP moves discovery meanwhile, and the next list waits for that. One that failed midway is applied whole the next time. After a handover a gateway is not ready before the first list is whole. - Bodies over 64 KiB are decoded in a thread. The JSON parser holds the interpreter lock but for the hook that it calls for each object; with a switch interval of 0.2 ms the loop gets its turn there. - MAX_BODY is 16 MiB: four times 17,000 entries with long names. Beyond the first 64 KiB an answer has a second more for each MB that came. - A malformed entry leaves what is held of its host in force, also in a whole list; malformed, doubled and unlisted ones are one logged line.

Others follow renames (discovery.numbers, blocks, cells, patience_ms, WAIT_MS, PATIENCE_MS, OLDER_MS, the module of parse_address).

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -22,9 +22,10 @@
 from rainturn.node.clients import ClientListener
 from rainturn.node.control import CONNECTIONS, Answer, Control, Route
 from rainturn.node.counter import Counter
-from rainturn.node.discovery import Discovery, parse_address
+from rainturn.node.discovery import Discovery
 from rainturn.node.gateway import Clock, Node
 from rainturn.node.handover import Handover, inherited
+from rainturn.node.host_list import parse_address
 from rainturn.node.host_pools import HostPools
 from rainturn.settings import Names, names_from, settings_from
 from rainturn.state import restore_state, save_state
@@ -230,7 +231,7 @@
 def carry_on(parts: Parts, state: dict[str, Any]) -> None:
     """Hand a predecessor's state to the module; one that can't be read changes nothing."""
     try:
-        numbers = parts.discovery.numbers
+        numbers = parts.discovery.table.numbers
         hosts = {str(numbers[name]): values for name, values in state["hosts"].items() if name in numbers}
         restore_state(parts.node.module, parts.node.clock.now(), state | {"hosts": hosts})
         log.info("handover: carried on")
--- a/rainturn/node/discovery.py
+++ b/rainturn/node/discovery.py
@@ -1,55 +1,52 @@
-"""The host list: as last known, then whole, then watched for changes."""
+"""The discovery client: asks for the whole host list, then watches for changes, and has both applied."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import json
 import logging
-import math
 import random
-import zlib
+from collections.abc import Iterator
 from typing import Any
 
 import httptools
 
 from rainturn import interface as it
 from rainturn.node.gateway import Node
+from rainturn.node.host_list import HostListUpdate, read_update
 from rainturn.node.host_pools import HostPools
+from rainturn.node.host_table import HostTable
+from rainturn.node.list_decoder import decode_beside
+from rainturn.node.list_intake import ListIntake
 
 log = logging.getLogger(__name__)
 
 # A change counts as told 6 s after discovery had it and could be reached, whatever has failed before. So a
 # silent watch, the pause after it and the next call together take less, and so do two calls and the longest
 # pause: at any size of the fleet.
-WAIT_MS = 2000  # how long a watch may wait: bounds how long a silent one goes unnoticed
-# Where lists are pushed, the agent beside us answers at once, and from its return on all that it has counts
-# as told: we wait for an answer, and between calls, for a small part of the grace that draining hosts have.
-NEAR_PART = 0.25
-NEAR_LEAST_MS = 100.0
-NEAR_MOST_MS = 500.0
+WATCH_WAIT_MS = 2000  # how long a watch may wait: bounds how long a silent one goes unnoticed
+# Where lists are pushed, the agent on this machine answers at once, and from its return on all that it has
+# counts as told: its time-out, and the pause between calls, are a small part of the drain grace.
+AGENT_TIMEOUT_PART = 0.25
+AGENT_TIMEOUT_MIN_MS = 100.0
+AGENT_TIMEOUT_MAX_MS = 500.0
 # Where they are asked for, one service answers all gateways, each call in its turn, and one that waits too
-# long fails: who failed often waits longer, and all come back out of step.
-PATIENCE_MS = 1500.0  # how long an answer may take there
-RETRY_MS = 300.0  # most after the first call that failed; doubled up to the limit below
-RETRY_MOST_MS = 2000.0
-START_MS = 300.0  # who knows hosts asks first within this time, as many start at once; but what it knows may
-# be old, and a host that drained or went meanwhile may get nothing new after 1 s
-OLDER_MS = 6000.0  # discovery's word is late by this at most: older lists for longer are numbered anew
-MAX_BODY = 4 << 20
-STATES = {
-    "in_service": it.HostState.READY,
-    "terminating": it.HostState.DRAINING,
-    "terminated": it.HostState.GONE,
-}
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """Split `host:port`."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
+# long fails: a gateway whose calls fail waits longer each time, and all of them come back out of step.
+ANSWER_TIMEOUT_MS = 1500.0
+RETRY_FIRST_MS = 300.0  # longest pause after the first call that failed; doubled up to the limit below
+RETRY_MAX_MS = 2000.0
+START_SPREAD_MS = (
+    300.0  # a start that knows hosts first asks within this time, as many start at once; but its
+)
+# list may be old, and a host that drained or went meanwhile may get nothing new after 1 s
+RENUMBERED_AFTER_MS = 6000.0  # discovery lags by this at most: older lists for longer are numbered anew
+# Nothing limits the number of hosts; this only ends an answer that would fill the memory. An entry takes some
+# 170 bytes, with long names and IPv6 addresses 250: 17,000 hosts take 2.9 to 4.3 MB, and this is four times
+# the latter, some 67,000 such hosts.
+MAX_BODY = 16 << 20
+# A long list is given more time than a time-out, as long as it goes on coming at this rate at least.
+MIN_BYTES_PER_MS = 1000
+FREE_BYTES = 64 << 10  # the part of an answer that has to come within the time-out alone
 
 
 class Refused(Exception):
@@ -87,133 +84,132 @@
 
 
 class Discovery:
-    """One task that keeps a watch open and hands on what it tells."""
+    """One task that asks and watches, and one at a time that applies a large list in steps."""
 
     def __init__(
         self, node: Node, pools: HostPools, zones: tuple[str, ...], address: tuple[str, int], seed: int
     ) -> None:
-        self.node, self.pools, self.address = node, pools, address
-        self.zones = {name: n for n, name in enumerate(zones)}
-        self.numbers: dict[str, int] = {}  # host name -> the module's number, never given twice
-        self.blocks: dict[str, str] = {}  # host name -> block
-        self.cells: dict[str, int] = {}  # block -> the module's number
-        self.last_number = self.last_cell = 0
-        pools.on_forgotten = self._forget
-        self.seq: int | None = None
-        rules = node.settings.rules
-        self.pushed = not node.settings.asks_for_list
-        self.near_ms = min(NEAR_MOST_MS, max(NEAR_LEAST_MS, NEAR_PART * rules.drain_grace_ms))
-        self.patience_ms = self.near_ms if self.pushed else PATIENCE_MS
-        self.rng = random.Random(seed)
+        self.node, self.address = node, address
+        self.table = HostTable(zones)
+        self.intake = ListIntake(node, pools, self.table)
+        pools.on_forgotten = self.table.forget
+        self.seq: int | None = None  # the version of the list that is in force; None: a whole list is needed
         self.older_since: float | None = None  # when lists older than ours began to come
+        self.is_pushed = not node.settings.asks_for_list
+        part_of_grace = AGENT_TIMEOUT_PART * node.settings.rules.drain_grace_ms
+        self.agent_timeout_ms = min(AGENT_TIMEOUT_MAX_MS, max(AGENT_TIMEOUT_MIN_MS, part_of_grace))
+        self.timeout_ms = self.agent_timeout_ms if self.is_pushed else ANSWER_TIMEOUT_MS
+        self.rng = random.Random(seed)
         self.writer: asyncio.StreamWriter | None = None
         self.watch: asyncio.Task[None] | None = None
+        self.moves = 0  # how often the address was changed: a list of an older one sets no version
+        self._steps: Iterator[None] = iter(())  # what is left of the list that is being applied
+        self._applying: asyncio.Task[None] | None = None
 
     def start(self, at_once: bool = True) -> None:
         """Begin to watch; unless at once, or with an agent, out of step with others, if hosts are known."""
-        wait_ms = 0.0 if at_once or self.pushed or self.seq is None else self.rng.random() * START_MS
+        wait_ms = 0.0
+        if not (at_once or self.is_pushed or self.seq is None):
+            wait_ms = self.rng.random() * START_SPREAD_MS
         self.watch = self.node.loop.create_task(self.run(wait_ms))
 
     async def stop(self) -> None:
-        """Watch no more."""
-        if self.watch is not None:
-            self.watch.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.watch
-        self._hang_up()
+        """End the watch, and leave a list that is being applied as it is."""
+        for task in (self.watch, self._applying):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+        self._close_connection()
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address, at once with the whole list: its versions may be numbered anew.
 
-        What the old address has not answered yet is given up with its connection; the hosts stay as told.
+        What the old address has not answered yet is given up with its connection; the hosts stay as told. A
+        list of the old address that has come whole is applied to its end before one of the new address.
         """
         if self.watch is not None:
             self.watch.cancel()
-        self._hang_up()
+        self._close_connection()
         self.address, self.seq, self.older_since = address, None, None
+        self.moves += 1
         self.start()
 
-    def apply(self, news: Any, cached: bool = False) -> None:
-        """Hand a list or changes to the pools and the module; what is older than ours changes nothing."""
-        if (
-            not isinstance(news, dict)
-            or not isinstance(news.get("hosts"), list)
-            or not isinstance(news.get("seq"), int)
-        ):
-            raise ValueError("not a host list")
-        seq, whole = news["seq"], news.get("whole") is True
-        if self.seq is not None and seq < self.seq:
+    # Applying lists.
+
+    def apply(self, answer: Any, cached: bool = False) -> None:
+        """Apply an answer at once, of whatever size; one older than the list in force changes nothing.
+
+        `cached`: it is the list that the gateway last knew, and may be old.
+        """
+        for _ in self._steps:  # what is left of the one before
+            pass
+        self._apply_at_once(read_update(answer), cached)
+
+    async def take_in(self, answer: Any) -> None:
+        """Apply an answer, a large one in steps between which the event loop serves requests."""
+        if self._applying is not None:
+            await asyncio.wait([self._applying])
+        update = read_update(answer)
+        del answer  # the update's entries are dropped one by one: all of them in one go would take some ms
+        if self.intake.is_small(update):
+            return self._apply_at_once(update)
+        self._check_version(update)
+        self._steps = self._apply_in_steps(update)
+        self._applying = self.node.loop.create_task(self._run_steps())
+        await asyncio.shield(self._applying)  # a move ends the watch, and not what it has been told
+
+    def _check_version(self, update: HostListUpdate) -> None:
+        """Raise a ValueError if an update is older than the list in force."""
+        if self.seq is not None and update.version < self.seq:
             # Guards against a late or lagging answer bringing hosts back that have gone since.
             now = self.node.clock.now()
             self.older_since = self.older_since or now
-            if not whole or now - self.older_since < OLDER_MS:
-                raise ValueError(f"version {seq} is older than {self.seq}")
+            if not update.whole or now - self.older_since < RENUMBERED_AFTER_MS:
+                raise ValueError(f"version {update.version} is older than {self.seq}")
         self.older_since = None
-        entries = []
-        for source in news["hosts"]:
-            try:
-                entries.append(self._entry(source))
-            except (ArithmeticError, AttributeError, KeyError, TypeError, ValueError) as error:
-                log.warning("discovery: entry passed over: %r", error)
-        if whole:
-            named = {entry.host for entry, _ in entries}
-            for host, pool in list(self.pools.pools.items()):
-                if host not in named:
-                    self.pools.update_host(host, pool.address, it.HostState.GONE, pool.started)
-        for entry, address in entries:
-            self.pools.update_host(entry.host, address, entry.state, entry.started)
-        kind = it.ListKind.CACHED if cached else it.ListKind.FULL if whole else it.ListKind.DELTA
-        if whole or entries:
-            self.node.feed(it.HostList(kind, tuple(entry for entry, _ in entries)))
-            self.pools.return_waiting()
-        sound = whole and len(entries) == len(news["hosts"]) > 0
-        self.seq = seq if sound or not cached else None
-
-    def _entry(self, source: Any) -> tuple[it.HostEntry, tuple[str, int]]:
-        name, block = str(source["host"]), str(source.get("block", 0))
-        state, address = STATES[source["health"]], parse_address(source["dial"])
-        zone = self.zones.setdefault(source["site"], len(self.zones))
-        size, born = float(source.get("share", 1.0)), float(source.get("born_ms", 0.0))
-        if not (math.isfinite(size) and math.isfinite(born)):
-            raise ValueError("not a number")
-        if name not in self.numbers:
-            self.last_number += 1
-            self.numbers[name] = self.last_number
-        if block not in self.cells:
-            self.last_cell += 1
-            self.cells[block] = self.last_cell
-        self.blocks[name] = block
-        number = self.numbers[name]
-        self.pools.add(number, name)
-        order = zlib.crc32(name.encode())
-        return it.HostEntry(number, zone, self.cells[block], state, size, born, order), address
-
-    def _forget(self, name: str) -> None:
-        """A host is gone for good, and so is its block when it was the last one there."""
-        self.numbers.pop(name, None)
-        block = self.blocks.pop(name, None)
-        if block is not None and block not in self.blocks.values():
-            self.cells.pop(block, None)
+
+    def _apply_at_once(self, update: HostListUpdate, cached: bool = False) -> None:
+        self._check_version(update)
+        kind = it.ListKind.FULL if update.whole else it.ListKind.DELTA
+        is_whole = update.whole and bool(update.hosts)
+        is_sound = self.intake.apply(update, it.ListKind.CACHED if cached else kind)
+        self.seq = update.version if (is_whole and is_sound) or not cached else None
+
+    def _apply_in_steps(self, update: HostListUpdate) -> Iterator[None]:
+        moves = self.moves
+        yield from self.intake.steps(update)
+        if moves == self.moves:
+            self.seq = update.version
+
+    async def _run_steps(self) -> None:
+        # Guards against counting as ready while a part of the hosts is known.
+        self.node.list_incomplete = not self.node.ready()
+        try:
+            for _ in self._steps:
+                await asyncio.sleep(0)
+        finally:
+            self.node.list_incomplete = False
+            self._applying = None
+
+    # Asking for lists.
 
     async def run(self, wait_ms: float = 0.0) -> None:
         """Ask for what is new, then watch; a call that fails is followed by another before long.
 
-        Who knows a list asks from its version on: changes cost discovery less than whole lists do. After a
-        call that failed, and at an agent's first, a watch follows an answer only: a silent one waits out its
-        time, and what comes meanwhile would be heard too late.
+        With a list in force, it asks from its version on: changes cost discovery less than whole lists do.
+        After a call that failed, and at an agent's first, a watch follows an answer only: a silent one waits
+        out its time, and what comes meanwhile would be heard too late.
         """
         failures, answered = 0, False
         await asyncio.sleep(wait_ms / 1000)
         while True:
             try:
-                if self.seq is None or self.older_since is not None:
-                    news = await self._get("/discovery/hosts", self.patience_ms)
-                else:
-                    wait = WAIT_MS if answered or not (failures or self.pushed) else 1
-                    news = await self._get(
-                        f"/discovery/hosts?index={self.seq}&wait={wait}", wait + self.patience_ms
-                    )
-                self.apply(news)
+                path, wait_ms = "/discovery/hosts", 0
+                if self.seq is not None and self.older_since is None:
+                    wait_ms = WATCH_WAIT_MS if answered or not (failures or self.is_pushed) else 1
+                    path += f"?index={self.seq}&wait={wait_ms}"
+                await self.take_in(await self._get(path, wait_ms + self.timeout_ms))
                 if failures:
                     log.info("discovery: back at version %s", self.seq)
                 failures, answered = 0, True
@@ -221,39 +217,44 @@
                 # Guards against anything that discovery may send, or its silence, ending the watch for good.
                 if not failures:
                     log.warning("discovery: %r", error)
-                self._hang_up()
+                self._close_connection()
                 failures, answered = failures + 1, False
                 await asyncio.sleep(self._pause(failures) / 1000)
 
     def _pause(self, failures: int) -> float:
-        """How long to wait after a call that failed: one's own time, as many in step would fail in step."""
-        if self.pushed:
-            return self.near_ms / 2 * (0.5 + self.rng.random())
-        most = min(RETRY_MOST_MS, RETRY_MS * 2.0 ** min(failures - 1, 20))
-        return most * (self.rng.random() if failures == 1 else 0.5 + 0.5 * self.rng.random())
-
-    async def _get(self, path: str, patience_ms: float) -> Any:
-        async with asyncio.timeout(patience_ms / 1000):
+        """How long to wait after a call that failed, in ms, at random: in step all gateways fail in step."""
+        if self.is_pushed:
+            return self.agent_timeout_ms / 2 * (0.5 + self.rng.random())
+        longest = min(RETRY_MAX_MS, RETRY_FIRST_MS * 2.0 ** min(failures - 1, 20))
+        return longest * (self.rng.random() if failures == 1 else 0.5 + 0.5 * self.rng.random())
+
+    async def _get(self, path: str, timeout_ms: float) -> Any:
+        """The decoded JSON of one answer, or an exception."""
+        response = _Response()
+        parser = httptools.HttpResponseParser(response)
+        started = self.node.loop.time()
+        async with asyncio.timeout(timeout_ms / 1000) as limit:
             reader, self.writer = await asyncio.open_connection(*self.address)
             self.writer.write(
                 b"GET %s HTTP/1.1\r\nHost: %s:%d\r\nAccept: application/json\r\n\r\n"
                 % (path.encode(), self.address[0].encode(), self.address[1])
             )
-            response = _Response()
-            parser = httptools.HttpResponseParser(response)
             while not response.done:
                 data = await reader.read(1 << 16)
                 if data:
                     parser.feed_data(data)
                 else:
                     response.connection_ended()
+                if len(response.body) > FREE_BYTES:
+                    more_ms = (len(response.body) - FREE_BYTES) / MIN_BYTES_PER_MS
+                    limit.reschedule(started + (timeout_ms + more_ms) / 1000)
         # A connection for each call: what comes late or twice is never taken for the next call's answer.
-        self._hang_up()
+        self._close_connection()
         if parser.get_status_code() != 200:
             raise Refused(f"status {parser.get_status_code()}")
-        return json.loads(response.body)
+        return await decode_beside(response.body)
 
-    def _hang_up(self) -> None:
+    def _close_connection(self) -> None:
         if self.writer is not None:
             self.writer.transport.abort()
         self.writer = None
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -174,6 +174,7 @@
         self.serial = self.unanswered = self.held_bytes = 0
         self._events: deque[it.Event] = deque()
         self._handling = False
+        self.list_incomplete = False  # whether the module knows the first part of its first list only
         self._perform: dict[type, Callable[..., None]] = {
             it.Send: self._send,
             it.Cancel: self._cancel,
@@ -186,8 +187,8 @@
         }
 
     def ready(self) -> bool:
-        """Whether clients should come, as the module says."""
-        return self.module.ready(self.clock.now())
+        """Whether clients should come: as the module says, once a first list that comes in parts is whole."""
+        return not self.list_incomplete and self.module.ready(self.clock.now())
 
     # Events in, actions out.
 
--- /dev/null
+++ b/rainturn/node/list_decoder.py
@@ -0,0 +1,57 @@
+"""Decodes the JSON of discovery's answers: short ones at once, long ones beside the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from rainturn.node.host_list import fields_or_object
+
+AT_ONCE_BYTES = 64 << 10  # some 400 hosts: decoded in 1 ms at most, in less than a thread would cost
+# How long the event loop waits for the interpreter while a thread decodes; Python's own 5 ms are too long.
+SWITCH_INTERVAL_S = 0.0002
+
+_lock = threading.Lock()
+_usual_interval_s = sys.getswitchinterval()
+_decoding = 0  # threads that decode
+
+
+def decode(body: bytes | bytearray) -> Any:
+    """Parse the body of an answer; complete entries become `Fields` at once, as these take less memory."""
+    return json.loads(body, object_hook=fields_or_object)
+
+
+async def decode_beside(body: bytes | bytearray) -> Any:
+    """Parse the body of an answer without holding the event loop for long.
+
+    The parser holds the interpreter lock but for the call of the hook after each object: there the thread
+    gives way to the loop. The thread ends with its work.
+    """
+    if len(body) <= AT_ONCE_BYTES:
+        return decode(body)
+    executor = ThreadPoolExecutor(1, "decoder")
+    _decoding_begins()  # before the loop waits for the lock: it would wait as long as the interval is then
+    future = executor.submit(decode, body)
+    future.add_done_callback(lambda _: _decoding_ends())
+    executor.shutdown(wait=False)
+    return await asyncio.wrap_future(future)
+
+
+def _decoding_begins() -> None:
+    """Let other threads have the interpreter soon, until the last of the threads that decode has ended."""
+    global _decoding
+    with _lock:
+        _decoding += 1
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+
+
+def _decoding_ends() -> None:
+    global _decoding
+    with _lock:
+        _decoding -= 1
+        if not _decoding:
+            sys.setswitchinterval(_usual_interval_s)
--- a/tests/test_node_crowd.py
+++ b/tests/test_node_crowd.py
@@ -18,7 +18,7 @@
 
 from rainturn import interface as it
 from rainturn.decisions import Gateway
-from rainturn.node.discovery import parse_address
+from rainturn.node.host_list import parse_address
 from rainturn.settings import settings_from
 from tests.sockets import WIRE, Client, Held, Peer, Totals, World, control, entry, run, served, soon
 from tests.sockets import Discovery as Agent
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -18,7 +18,7 @@
 
 from rainturn.node.__main__ import answer_by, finish
 from rainturn.node.clients import ACCEPT_BATCH
-from rainturn.node.discovery import parse_address
+from rainturn.node.host_list import parse_address
 from rainturn.node.resp import pack
 from rainturn.settings import settings_from
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
--- a/tests/test_node_services.py
+++ b/tests/test_node_services.py
@@ -17,7 +17,7 @@
 from rainturn import interface as it
 from rainturn.node import counter as counter_module
 from rainturn.node import discovery as discovery_module
-from rainturn.node.discovery import WAIT_MS, Discovery, Refused
+from rainturn.node.discovery import WATCH_WAIT_MS, Discovery, Refused
 from tests.sockets import WIRE, Peer, World, entry, run, served, soon
 from tests.sockets import Discovery as Agent
 
@@ -276,7 +276,7 @@
     async with World(wire={"discovery": mode, "balancers": gateways}) as world:
         watch = Watch(world, await Agent().start())
 
-        async def fail(path: str, patience_ms: float) -> object:
+        async def fail(path: str, timeout_ms: float) -> object:
             raise error
 
         async def pause(seconds: float) -> None:
@@ -302,15 +302,15 @@
     discovery, now, calls = watch.discovery, 0.0, 0
     discovery.seq = 5
 
-    async def get(path: str, patience_ms: float) -> object:
+    async def get(path: str, timeout_ms: float) -> object:
         nonlocal now, calls
         calls += 1
         if calls == 1:
             return {"seq": 5, "whole": False, "hosts": []}
         if now < until:
-            now += patience_ms / 1000 if isinstance(error, TimeoutError) else 0.0
+            now += timeout_ms / 1000 if isinstance(error, TimeoutError) else 0.0
             raise error
-        now += discovery.patience_ms / 1000
+        now += discovery.timeout_ms / 1000
         raise asyncio.CancelledError
 
     async def sleep(seconds: float) -> None:
@@ -414,7 +414,7 @@
             await soon(agent.calls.get())
             agent.put({"seq": 6, "whole": False, "hosts": [entry("a", "127.0.0.1:1", health="terminating")]})
             assert await watch.next() == (it.ListKind.DELTA, [(1, it.HostState.DRAINING)])
-            assert await soon(agent.calls.get()) == f"/discovery/hosts?index=6&wait={WAIT_MS}"
+            assert await soon(agent.calls.get()) == f"/discovery/hosts?index=6&wait={WATCH_WAIT_MS}"
             await watch.discovery.stop()
             agent.server.close()
 
@@ -444,7 +444,7 @@
             watch.agent.put(older)
             assert await soon(watch.agent.calls.get()) == "/discovery/hosts"
         assert watch.lists.empty()
-        monkeypatch.setattr(discovery_module, "OLDER_MS", 0.0)
+        monkeypatch.setattr(discovery_module, "RENUMBERED_AFTER_MS", 0.0)
         watch.agent.put(older)
         assert await watch.next() == (it.ListKind.FULL, [(2, it.HostState.READY)])
 
@@ -476,8 +476,8 @@
 
 
 def test_a_silent_discovery_is_asked_again(monkeypatch: Any) -> None:
-    monkeypatch.setattr(discovery_module, "PATIENCE_MS", 100)
-    monkeypatch.setattr(discovery_module, "WAIT_MS", 100)
+    monkeypatch.setattr(discovery_module, "ANSWER_TIMEOUT_MS", 100)
+    monkeypatch.setattr(discovery_module, "WATCH_WAIT_MS", 100)
 
     async def test(watch: Watch) -> None:
         assert "index=5&" in await soon(watch.agent.calls.get())  # on a new connection
--- a/tests/test_standing_lists.py
+++ b/tests/test_standing_lists.py
@@ -39,7 +39,7 @@
     """A gateway that holds list 5, with all its hosts, and has an open watch from there on."""
     async with World(*handlers) as world:
         agent, discovery = await Discovery().start(), world.parts.discovery
-        discovery.patience_ms = LONG * 1000  # no test here depends on how fast an answer comes
+        discovery.timeout_ms = LONG * 1000  # no test here depends on how fast an answer comes
         discovery.move(agent.address)
         agent.put(_list(5, *_entries(world)))
         assert await soon(agent.calls.get()) == "/discovery/hosts"
@@ -101,7 +101,7 @@
             assert await client.answer() == b"value" and await _known(world) == (1, 0)
             agent.put_raw(_sized(body))
             await _asks_from(agent, 6)
-            assert await _known(world) == (1, 0) and set(world.parts.discovery.numbers) == {"new"}
+            assert await _known(world) == (1, 0) and set(world.parts.discovery.table.numbers) == {"new"}
 
     run(main())
 
