Keep the hosts' order up to date by each change in place of sorting anew

A change of one host sorted the whole list, a period did so while any host was cold, and each request walked all cold ones: 43 ms a change and 2 ms a request with 17,000 hosts.

HostIndex keeps the listed and the warm hosts sorted (bisect) and this gateway's start among the warm ones; entries that say nothing new cost a comparison. Cold hosts lie end to end, as wide as the share of requests each may get, in ColdHosts: a draw finds its host by bisection. What is laid down keeps its width until the period lays all down anew. One that leaves or restarts leaves a gap and comes again at the end, and where the mean size has grown meanwhile all count as narrower: a draw never errs upwards (rule 4). A cold host turns warm at a period or at a change of its own, no more at a change of another one. Load is summed over the hosts that were used, not over all.

--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -43,7 +43,7 @@
             return self._park(now, request)
         self.parked.pop(request.id, None)
         if request.whole:
-            host.add_load(now)
+            self.hosts.index.add_load(now, host)
         host.tried_at = now
         if request.customer is not None:
             request.customer.open_attempts += 1
@@ -99,7 +99,8 @@
         request = self.open.get(event.request)
         if request is not None:
             request.whole, request.deadline, request.arrived_at = True, event.deadline, now
-            request.begin_load(now)
+            for attempt in request.begin_load(now):
+                self.hosts.index.add_load(now, attempt.host)
 
     def answer_began(self, now: float, event: it.StreamBegan) -> None:
         """An answer has begun and is learnt from; how long the rest takes tells nothing."""
--- a/rainturn/decisions/hosts.py
+++ b/rainturn/decisions/hosts.py
@@ -31,14 +31,13 @@
         super().__init__(shared)
         self.tiers = tiers
         self.rules = self.settings.rules
-        self.index = HostIndex(self.settings, self.warmth)
+        self.index = HostIndex(self.settings, self.warmth, self._cold_share)
         self.trial_ms = TRIAL_MS * min(self.settings.gateways, TRIAL_GATEWAYS)
         self.evidence_since = -math.inf  # what was sent before this is no evidence
 
     def open_attempts(self) -> int:
         """Attempts out at hosts that are not suspect."""
-        hosts = self.index.hosts.values()
-        return sum(host.open_attempts for host in hosts if host.failures < SUSPECT_FAILURES)
+        return sum(h.open_attempts for h in self.index.loaded() if h.failures < SUSPECT_FAILURES)
 
     def skipped(self) -> int:
         """How many listed hosts get no ordinary traffic: they drain, or are suspect."""
@@ -56,12 +55,12 @@
         """The best of some warm hosts, or a cold one's turn. Suspects get trials, and all if none is left."""
         anchor = request.anchor()
         tried = {attempt.host.id for attempt in request.attempts}
-        cold = self._cold_turn(now, request) if self.index.cold else None
+        cold = self._cold_turn(request) if self.index.cold.place_of else None
         if cold is not None and cold.id not in tried and self._may_take(request, anchor, cold):
             return cold
         usual_ms = self.answer_times[request.class_index].mean
         may_try = not request.attempts and request.request_class.effect is it.Effect.SAFE
-        warm = self.index.warm
+        warm, start = self.index.warm, self.index.start
         count = len(warm)
         best, choice, skip = (4, 0.0), None, 0
         for step in range(count):
@@ -69,7 +68,7 @@
                 if step >= 2 * CANDIDATES or (choice is not None and not choice.open_attempts):
                     break
                 skip = skip or self.rng.randrange(1, count)
-            host = warm[(step + skip) % count]
+            host = warm[(start + step + skip) % count]
             suspect = host.failures >= SUSPECT_FAILURES
             if not self._may_take(request, anchor, host):
                 continue
@@ -80,20 +79,18 @@
                 best, choice = rank, host
         return choice
 
-    def _cold_turn(self, now: float, request: PendingRequest) -> Host | None:
-        """The cold host whose turn this request's draw is: rule 4 for any number of gateways together.
+    def _cold_turn(self, request: PendingRequest) -> Host | None:
+        """The cold host whose turn this request's draw is: rule 4 for any number of gateways together."""
+        host = self.index.cold.at(request.draw * self.index.fleet, self.index.mean_size)
+        return host if host is not None and host.failures < SUSPECT_FAILURES else None
 
-        By chance it gets its present part of a host's even share, times the rule's multiple with margin; a
-        host that is smaller than others gets so much less.
+    def _cold_share(self, host: Host, warmth: float, mean_size: float) -> float:
+        """What a cold host may get of an even share: its present part, times the rule's multiple with margin.
+
+        A host that is smaller than others gets so much less.
         """
-        draw = request.draw * self.index.fleet
-        mean_size = self.index.mean_size
-        for host in self.index.cold:
-            part = min(1.0, host.size / mean_size) if mean_size else 1.0
-            draw -= COLD_MARGIN * self.rules.fall_multiple * self.warmth(now, host) * part
-            if draw < 0.0:
-                return host if host.failures < SUSPECT_FAILURES else None
-        return None
+        part = min(1.0, host.size / mean_size) if mean_size else 1.0
+        return COLD_MARGIN * self.rules.fall_multiple * warmth * part
 
     def _may_take(self, request: PendingRequest, anchor: Attempt | None, host: Host) -> bool:
         """Rule 2: a keyed request that may have run stays where its repeats are dropped."""
--- a/rainturn/records.py
+++ b/rainturn/records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 from typing import NamedTuple
 
@@ -16,6 +17,14 @@
 HASH_FACTOR = 2654435761  # spreads host numbers over 32 bits: the order has nothing to do with zone or age
 
 
+class Standing(enum.Enum):
+    """Where a host stands among those that may be used."""
+
+    NOT_READY = "not ready"
+    COLD = "cold"
+    WARM = "warm"
+
+
 class Host:
     """What this gateway knows of one host from the list and from its own attempts."""
 
@@ -37,6 +46,9 @@
         "failures",
         "resets",
         "failing_since",
+        "in_ring",
+        "standing",
+        "counted_size",
     )
 
     def __init__(self, entry: it.HostEntry, now: float) -> None:
@@ -52,6 +64,9 @@
         self.resets = 0  # connections broken in a row
         self.failing_since = 0.0
         self.started = 0.0  # 0: long ago
+        self.in_ring = False  # these three are kept by the index of hosts
+        self.standing = Standing.NOT_READY
+        self.counted_size = 0.0
         self.update(entry)
 
     def update(self, entry: it.HostEntry) -> None:
@@ -149,13 +164,13 @@
         """The attempt of that number, if there was one."""
         return self.attempts[number] if number < len(self.attempts) else None
 
-    def begin_load(self, now: float) -> None:
-        """Its last byte has come: attempts that are out count as load from now."""
-        for attempt in self.attempts:
-            if attempt.out and not attempt.is_load:
-                attempt.sent_at = now
-                attempt.is_load = True
-                attempt.host.add_load(now)
+    def begin_load(self, now: float) -> list[Attempt]:
+        """Its last byte has come: attempts that are out, which are returned, are load from now."""
+        begun = [attempt for attempt in self.attempts if attempt.out and not attempt.is_load]
+        for attempt in begun:
+            attempt.sent_at = now
+            attempt.is_load = True
+        return begun
 
     def open_attempts(self) -> int:
         """How many attempts are out."""
--- a/rainturn/state.py
+++ b/rainturn/state.py
@@ -122,7 +122,7 @@
     tiers.marked_at = now if tiers.capacity else -math.inf
     tiers.periods = 1
     gateway.settled_at = now + SETTLE_MS
-    gateway.index.sort(now)
+    gateway.index.replace_all(now)
 
 
 def _read(saved: Mapping[str, Any], settings: it.Settings, tiers: int) -> CheckedState:
