Take changes of a large fleet in steps when they are more than one step

An update of up to 256 entries was applied at once at any size of the fleet. With the module that holds the event loop for 3.8 ms at 166 changes (2,000 hosts, busy machine), where 2.5 ms are allowed.

--- a/rainturn/node/list_intake.py
+++ b/rainturn/node/list_intake.py
@@ -37,7 +37,7 @@
 COMPARED_PER_STEP = 250  # entries that are only compared with what is held
 CHECK_WORK = 10  # of an entry that differs and is checked, in units of the comparison of an equal one
 CHANGED_PER_STEP = 25  # entries that differ, applied to the pools and the module
-AT_ONCE = 256  # updates of no more entries are applied as one: they take as long as some steps do
+SMALL_FLEET = 256  # hosts: up to so many, an update is applied as one, as are those of one step of changes
 
 
 class Problems:
@@ -86,7 +86,8 @@
     def is_small(self, update: HostListUpdate) -> bool:
         """Whether an update is applied at once; the first one is too: without hosts nothing is served."""
         held = len(self.table.fields)
-        return not held or max(len(update.hosts), held if update.whole else 0) <= AT_ONCE
+        limit = SMALL_FLEET if held <= SMALL_FLEET else CHANGED_PER_STEP
+        return not held or max(len(update.hosts), held if update.whole else 0) <= limit
 
     def apply(self, update: HostListUpdate, kind: it.ListKind) -> bool:
         """Apply an update at once, as one event for the module; return whether all entries could be read."""
--- a/tests/test_node_lists_at_scale.py
+++ b/tests/test_node_lists_at_scale.py
@@ -199,6 +199,21 @@
         return [host.state for event in self.events for host in event.entries]
 
 
+@pytest.mark.parametrize("changes", [2, list_intake.CHANGED_PER_STEP, list_intake.CHANGED_PER_STEP + 1, 200])
+@pytest.mark.parametrize("size", SIZES)
+def test_changes_of_a_large_fleet_are_one_event_up_to_the_size_of_a_step(
+    size: int, changes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        watched = Watched(monkeypatch, size)
+        await watched.discovery.take_in(_list(2, _hosts(changes, health="terminating"), False))
+        steps = 1 if size == 200 else math.ceil(changes / list_intake.CHANGED_PER_STEP)
+        assert len(watched.events) == steps and watched.states() == [DRAINING] * changes
+        assert all(event.kind is it.ListKind.DELTA for event in watched.events)
+
+    run(main())
+
+
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("health", ["terminating", "terminated", "in_service"])
 def test_a_change_of_one_host_does_the_same_work_at_any_size(
