Weigh a counter call whose units are to be given back without dividing by 0

Where a customer had two units to give back, one was asked and its store was empty, the weights of a call added up to 0: the module raised, and the request was answered as failed.

Such news counts as none now. The new test fails without the change.

--- a/rainturn/decisions/quota.py
+++ b/rainturn/decisions/quota.py
@@ -161,7 +161,9 @@
     news = customer.unreported + units
     if customer.window >= 0:
         news += customer.others_rate * (now - customer.total_at) / 1000
-    return news / (news + max(0.0, customer.level) + NEWS_SHARE * customer.plan.burst)
+    news = max(0.0, news)  # where more is to be given back than is asked for the call tells nothing urgent
+    held = max(0.0, customer.level) + NEWS_SHARE * customer.plan.burst
+    return news / (news + held) if news else 0.0
 
 
 def surely_short(customer: Customer, now: float, units: float) -> bool:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1018,6 +1018,16 @@
     assert fresh < spent < quota.news_weight(customer, drive.now + 5000.0, 1.0) <= 1.0
 
 
+def test_units_to_give_back_weigh_a_call_with_nothing_and_break_nothing() -> None:
+    """Two to give back, one asked and an empty store: the weights' sum was 0, and the request failed."""
+    drive = Drive(settings(plans=(replace(PLAN, burst=4),)))
+    customer = drive.gate.meter.customer(drive.now, it.Arrived(1, drive.now + 5000.0, 1, 0, 0, 1.0, 2.0))
+    customer.level, customer.unreported = 0.0, -2.0
+    assert quota.news_weight(customer, drive.now, 1.0) == 0.0
+    number, got = drive.arrive(0)
+    assert of(got, it.Count) or got == [it.Refuse(number)]
+
+
 def test_what_a_counter_turned_away_is_told_again_and_an_outage_leaves_a_full_store_at_most() -> None:
     drive = Drive(settings())
     (call,) = of(drive.arrive()[1], it.Count)
