Take a client's commands in batches, one in a turn of the loop

Commands that are answered without a wait (PING, a refusal, an error) do not count among a connection's open requests, so _parse() in client_connection.py went through all that a read had brought: 1,000 of 1,000 PINGs and 637 of 1,000 refused requests in one turn. All other clients, hosts and timers waited meanwhile. Up to 64 commands are taken now, the rest in the next turns, with the reading paused and a look before each batch whether the client has gone; what it left is dropped then.

Test: test_a_flood_of_commands_is_taken_in_turns_with_all_other_work counts commands in a turn; it fails in both cases without this change.

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -18,6 +18,7 @@
 
 MAX_ERRORS = 8  # commands in error on one connection; one more ends it
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
+COMMAND_BATCH = 64  # commands of one connection in one turn of the loop, so that many hold up no other work
 LIVENESS_CHECK_S = 0.1  # how often a client is checked for its hang-up while nothing is read of it
 
 
@@ -53,6 +54,7 @@
         self.proven = False  # whether it has sent a command that can be served
         self.reading_paused = False
         self.parsing = False  # guards against parsing again from within a command
+        self.parse_handle: asyncio.Handle | None = None  # set while more commands wait for the next turn
         self.liveness_timer: asyncio.TimerHandle | None = None  # set while reading is paused
         self.hangup_poll = select.poll()  # shows the client's end, also behind what is not read yet
         self.input_poll = select.poll()  # shows bytes that are not read yet
@@ -75,13 +77,14 @@
         self._parse()
 
     def _parse(self) -> None:
-        if self.parsing:
+        if self.parsing or self.parse_handle is not None:
             return
         self.parsing = True
-        data, at, incomplete = self.buffer, 0, False
+        data, at, incomplete, commands = self.buffer, 0, False, 0
         try:
             while (
                 at < len(data)
+                and commands < COMMAND_BATCH
                 and not (self.closing or self.writing_paused)
                 and (self.body is not None or len(self.pending) < MAX_PENDING)
             ):
@@ -94,6 +97,7 @@
                     incomplete = True
                     break
                 at = parsed.end
+                commands += 1
                 if parsed.body is None:
                     self._execute(parsed.words)
                 else:
@@ -103,6 +107,8 @@
         finally:
             self.parsing = False
         self.buffer = b"" if self.closing else data[at:] if at else data
+        if commands == COMMAND_BATCH and self.buffer:
+            self._parse_next_turn()
         if incomplete:
             if at:
                 self.timeouts.incomplete.pop(self, None)  # that was another command, and is whole
@@ -115,6 +121,15 @@
         if not (self.pending or self.buffer or self.closing or self.transport.is_closing()):
             self._on_all_answered()
 
+    def _parse_next_turn(self) -> None:
+        if self.parse_handle is None and not self.parsing:
+            self.parse_handle = self.node.loop.call_soon(self._parse_batch)
+
+    def _parse_batch(self) -> None:
+        self.parse_handle = None
+        if self.here():
+            self._parse()
+
     def _begin_body(self, body: Body) -> None:
         """Begin a command with a body: at once if that is passed on, else when it is whole.
 
@@ -177,7 +192,9 @@
             self.timeouts.enter(self.timeouts.uploading, self)
 
     def _has_enough(self) -> bool:
-        """Whether the body that is passed on, or else the open requests, leave no room for more input."""
+        """Whether more input would be too much: for what is parsed, the body, or the open requests."""
+        if self.parse_handle is not None:
+            return True
         if self.body is not None and self.body.long:
             return not self.body.wants()
         return len(self.pending) >= MAX_PENDING
@@ -288,7 +305,7 @@
 
     def _replies_written(self) -> None:
         if self.reading_paused:
-            self._parse()
+            self._parse_next_turn()
         if self.pending:
             self._resume_value()
         else:
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from rainturn import interface as it
 from rainturn.node import client_timeouts
 from rainturn.node.gateway import Attempt, Request
 from rainturn.node.resp import pack
@@ -295,6 +296,45 @@
     run(main())
 
 
+@pytest.mark.parametrize("flood", ["pings", "refused"])
+def test_a_flood_of_commands_is_taken_in_turns_with_all_other_work(flood: str) -> None:
+    """Each command is answered without a wait, so that none has to wait unread for those before it."""
+
+    async def main() -> None:
+        async with World(lambda words: served(), wire=POOR) as world:
+            node, client = world.parts.node, await world.client()
+            client.ask(b"first")
+            assert await client.answer() == b"value"
+            turns, turn = list[int](), 0
+            handle, ready = node.module.handle, node.ready
+
+            def count_request(now: float, event: it.Event) -> list[it.Action]:
+                if isinstance(event, it.Arrived):
+                    turns.append(turn)
+                return handle(now, event)
+
+            def count_ping() -> bool:
+                turns.append(turn)
+                return ready()
+
+            node.module.handle = count_request  # type: ignore[method-assign]
+            node.ready = count_ping  # type: ignore[method-assign]
+            command = PING if flood == "pings" else _read(b"%d")
+            count = 1000
+            client.writer.write(
+                b"".join(_read(b"%d" % n) if flood == "refused" else command for n in range(count))
+            )
+            while len(turns) < count:
+                await asyncio.sleep(0)
+                turn += 1
+            for _ in range(count):
+                assert str(await client.answer()) == "b'PONG'" if flood == "pings" else "-BUSY"
+            assert max(turns.count(n) for n in set(turns)) <= 128  # what was there, and what was read anew
+            await _close(world, client)
+
+    run(main())
+
+
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_clients_that_go_as_they_are_accepted_leave_nothing(how: str) -> None:
     async def main() -> None:
