Answer at the end what waits behind a connection's open requests

At the end of a shutdown the open requests get their final answers (finish() in rainturn/node/__main__.py). With up to 32 of one connection open at once, more of it can have been read and wait: as the first ones ended these became requests, were sent on, and were lost with the process 0.2 s later. 32 of 80 requests of one connection were answered.

From that point on every request is refused as busy before anything is sent on, so all that has been read is answered. A connection is closed then once it is idle by the same measure as before: what has come and is not read yet is read and refused, where the close reset it.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -309,6 +309,7 @@
     parts.clients.stop(not handed_on)
     parts.pools.close_idle()
     await parts.clients.wait_closed(end - loop.time())
+    parts.clients.refuse_all()  # what waited behind the requests below is taken as they end
     for request in [r for r in node.requests.values() if not r.done]:
         node.end_now(request)
     await parts.clients.close()
--- a/rainturn/node/clients.py
+++ b/rainturn/node/clients.py
@@ -177,9 +177,12 @@
                 async with asyncio.timeout(limit_s):
                     await self.all_closed.wait()
 
+    def refuse_all(self) -> None:
+        """From now on answer every request that comes as busy, at once."""
+        self.max_open = 0
+
     async def close(self) -> None:
-        """Close the connections that have nothing pending, and wait until the last replies have left."""
+        """Close each connection once all that has come on it is answered, and wait for that a short time."""
         for connection in list(self.connections):
-            if not connection.pending:
-                connection.transport.close()
+            connection.close_if_idle()
         await self.wait_closed(CLOSE_S)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -290,8 +290,9 @@
         sites: tuple[str, ...] = (),
         descriptors: int = 200,
         wire: dict[str, Any] | None = None,
+        seed: str = "2a",
     ) -> None:
-        self.handlers, self.sites, self.descriptors = hosts, sites, descriptors
+        self.handlers, self.sites, self.descriptors, self.seed = hosts, sites, descriptors, seed
         self.counter = Peer(counter or Totals())
         self.wire = WIRE | (wire or {})
         self.hosts: list[Peer] = []
@@ -313,7 +314,7 @@
                 "listen": "127.0.0.1:0",
                 "discovery": "127.0.0.1:1",
                 "counter": self.counter.dial,
-                "seed": "2a",
+                "seed": self.seed,
                 "settings": self.wire,
                 "known": known,
             },
