Close the connections to a counter that has moved and stays silent

After a reload that moves the counter, a connection with calls out stays open until their answers have come (move() in rainturn/node/counter.py). A counter that was cut off gives none and does not close either: the connection, up to four with each reload, was held for good. The calls have timed out long before.

Test: test_a_reload_while_the_counter_is_silent_leaves_no_connection_to_the_old_one fails without this change.

--- a/rainturn/node/counter.py
+++ b/rainturn/node/counter.py
@@ -17,6 +17,9 @@
 MAX_CONNECTIONS = 4  # more than one: a malformed answer or a break ends all calls on the same connection
 MAX_TTL_MS = 60_000  # longest life of a count that the protocol knows
 RECONNECT_MS = 100.0  # pause after a connect that failed
+RETIRE_S = (
+    2.0  # how long a counter that has moved may take for its last answers; its old address closes sooner
+)
 
 
 class CounterCall:
@@ -123,7 +126,10 @@
         connections, self.connections = self.connections, []
         for connection in connections:
             connection.retiring = True
-            if not connection.calls:
+            if connection.calls:
+                # Guards against a counter that is cut off holding it for good: nobody calls over it any more.
+                self.node.loop.call_later(RETIRE_S, connection.close)
+            else:
                 connection.close()
 
     def call(self, name: int, amount: float, ttl: float) -> None:
--- a/tests/test_standing_process.py
+++ b/tests/test_standing_process.py
@@ -16,6 +16,7 @@
 import hiredis
 import pytest
 
+from rainturn.node import counter as counter_module
 from rainturn.node.__main__ import finish
 from rainturn.node.host_list import parse_address
 from rainturn.node.resp import pack
@@ -247,6 +248,26 @@
     run(main())
 
 
+def test_a_reload_while_the_counter_is_silent_leaves_no_connection_to_the_old_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was cut off: it neither answers nor closes."""
+    monkeypatch.setattr(counter_module, "RETIRE_S", 0.2, raising=False)
+
+    async def main() -> None:
+        async with World(lambda words: served(), counter=lambda words: None) as world:
+            client, moved = await world.client(), await Peer(Totals()).start()
+            client.ask(b"1")
+            await soon(world.counter.commands.get())
+            world.parts.counter.move(moved.address)
+            await soon(world.counter.closed.get())
+            client.ask(b"2")
+            await soon(moved.commands.get())
+            moved.server.close()
+
+    run(main())
+
+
 def test_thirty_gateways_together_do_not_push_a_cold_host_over() -> None:
     """Each knows only its own requests; the bound is that of all of them, N + 2 x root of N + 2."""
 
