Ask for the client's connection by its new name where commands are read in batches

Taking commands in batches and the new names of requests and of the client's side landed one after the other; the line that looks for the client between two batches still called here(), which is is_connected() now, so a second batch raised an AttributeError. mypy says so; tests of clients (node and standing) pass.

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -128,7 +128,7 @@
 
     def _parse_batch(self) -> None:
         self.parse_handle = None
-        if self.here():
+        if self.is_connected():
             self._parse()
 
     def _begin_body(self, body: Body) -> None:
