Keep whole parts of a scale run that is ended, and measure the floor of added time

A full-size run lost what it had measured in ten minutes when it was interrupted, and one worker's failure would have done the same. A second interrupt while pipes were closed ended in a traceback.

The JSON is written after each part now; a part that fails or is still to come stands under `skipped`, and the others go on. A join that takes too long says how many gateways got no list. A slow discovery stand-in passes over calls whose caller has gone.

The request series also plays its clients straight to a host, as the floor of the time that a gateway adds. A stall is the processor time of the loop's own thread, beside the wall time: a list that a thread decodes is no stall.

--- a/rainturn/emulator/__main__.py
+++ b/rainturn/emulator/__main__.py
@@ -79,9 +79,13 @@
         print(f"python -m rainturn.emulator: no such folder: {file.parent}", file=sys.stderr)
         return BAD_ARGUMENT
     try:
-        result = run_scale(options_from(arguments), lambda text: print(text, flush=True))
+        result = run_scale(
+            options_from(arguments),
+            lambda text: print(text, flush=True),
+            lambda found: write_json(found, file),
+        )
     except KeyboardInterrupt:
-        print("interrupted: all that was started has ended", file=sys.stderr)
+        print("interrupted: all that was started has ended, whole parts are kept", file=sys.stderr)
         return INTERRUPTED
     write_json(result, file)
     if arguments.plot is not None:
--- a/rainturn/emulator/commands.py
+++ b/rainturn/emulator/commands.py
@@ -86,7 +86,7 @@
 
 @dataclass(frozen=True)
 class Join:
-    """Start gateways; `Joined` comes once all have a host list."""
+    """Start gateways; `Joined` comes once all have a host list, or after `within_s`."""
 
     numbers: tuple[int, ...]
     within_s: float = 60.0
@@ -94,15 +94,16 @@
 
 @dataclass(frozen=True)
 class Joined:
-    """How long gateways took until all had a list, and the processor time for that, in s."""
+    """How long gateways took until all had a list, the processor time for it, in s, and how many got none."""
 
     took_s: float
     cpu_s: float
+    without_list: int = 0
 
 
 @dataclass(frozen=True)
 class WatchStalls:
-    """Begin to watch for stalls, or end that: the answer is then the longest, in ms of processor time."""
+    """Begin to watch for stalls, or end that: the answer is then the longest, as `Stalls`."""
 
     on: bool
 
--- a/rainturn/emulator/comparison.py
+++ b/rainturn/emulator/comparison.py
@@ -234,7 +234,7 @@
     quick = lab.options.quick
     seconds, changes, rate = lab.options.window_s, 60 if quick else 200, 60.0 if quick else 100.0
     hosts = min(lab.options.hosts, 800 if quick else 4000)
-    small = Size(min(LEAST_HOSTS, hosts // 2), rate / 2, seconds, changes)
+    small = Size(min(LEAST_HOSTS, hosts // 2), rate, seconds, changes)
     pair = Pair(lab)
     still = pair.quiet(seconds / 2)[HOLLOW]
     dry = pair.loaded(rate, seconds, dry=True)[HOLLOW]
--- a/rainturn/emulator/control_series.py
+++ b/rainturn/emulator/control_series.py
@@ -26,6 +26,7 @@
 from rainturn.emulator.measurements import Fault, Quantity, Slope
 from rainturn.emulator.service_roles import CounterRole, DiscoveryRole
 from rainturn.emulator.slopes import measure_slopes
+from rainturn.emulator.stalls import Stalls
 from rainturn.emulator.workers import Worker
 from rainturn.emulator.workload import ZONES
 
@@ -41,9 +42,10 @@
 CHANGE_CPU = Quantity(ROLE, "one_change_cpu", "ms", "hosts")
 CHANGE_BYTES = Quantity(ROLE, "one_change_bytes", "bytes", "hosts")
 CHANGE_STALL = Quantity(ROLE, "one_change_longest_stall", "ms", "hosts")
+CHANGE_GAP = Quantity(ROLE, "one_change_longest_gap", "ms", "hosts")  # wall time, other processes too
 HELD = Quantity(ROLE, "list_held_memory", "MB", "hosts")
 PEAK = Quantity(ROLE, "list_peak_memory", "MB", "hosts")
-QUANTITIES = (IDLE_CPU, LIST_CPU, LIST_BYTES, CHANGE_CPU, CHANGE_BYTES, CHANGE_STALL, HELD, PEAK)
+QUANTITIES = (IDLE_CPU, LIST_CPU, LIST_BYTES, CHANGE_CPU, CHANGE_BYTES, CHANGE_STALL, CHANGE_GAP, HELD, PEAK)
 
 
 @dataclass(frozen=True)
@@ -91,14 +93,15 @@
         change_bytes = services.traffic_bytes() - sent
         worker.ask(WatchStalls(True))
         services.discovery.ask(ChangeOne(changes, watchers=1))
-        longest_stall_ms: float = worker.ask(WatchStalls(False))
+        stalls: Stalls = worker.ask(WatchStalls(False))
     return {
         IDLE_CPU.name: idle * 1000,
         LIST_CPU.name: joined.cpu_s * 1000,
         LIST_BYTES.name: float(list_bytes),
         CHANGE_CPU.name: max(0.0, used) * 1000 / changes,
         CHANGE_BYTES.name: change_bytes / changes,
-        CHANGE_STALL.name: longest_stall_ms,
+        CHANGE_STALL.name: stalls.used_ms,
+        CHANGE_GAP.name: stalls.passed_ms,
         HELD.name: list_held,
         PEAK.name: after.peak_mb - before.peak_mb,
     }
@@ -107,10 +110,11 @@
 def play_zone(lab: Lab, services: Services, hosts: int, how: str) -> list[Fault]:
     """A zone's hosts are lost and return: one gateway's processor time and longest stall."""
     services.discovery.ask(SetList(hosts, UNUSED_DIALS))
+    over_s = min(ZONE_WITHIN_S, 3.5 * lab.options.window_s)
     back = {
         "one_list": Zone(ZONE_PART, lost=False),
         "single_changes": Zone(ZONE_PART, lost=False, as_one=False, watchers=1),
-        "changes_over_7_s": Zone(ZONE_PART, lost=False, as_one=False, over_s=ZONE_WITHIN_S),
+        "stream_of_changes": Zone(ZONE_PART, lost=False, as_one=False, over_s=over_s),
     }[how]
     with lab.worker(partial(HollowRole, 1, services.addresses, lab.options.seed)) as worker:
         worker.ask(Join((0,)))
@@ -122,12 +126,15 @@
         changed: Changed = services.discovery.ask(back, within_s=max(60.0, lab.left_s()))
         time.sleep(lab.settle_s)
         used = cpu_s(worker) - used - idle * (time.monotonic() - began)
-        longest_stall_ms: float = worker.ask(WatchStalls(False))
+        stalls: Stalls = worker.ask(WatchStalls(False))
     note = f"{round(hosts * ZONE_PART)} of {hosts} hosts return cold in {changed.versions} versions"
+    if back.over_s:
+        note += f" over {over_s:g} s"
     name = f"zone back, {how.replace('_', ' ')}"
     return [
         Fault(name, "gateway_cpu", "ms", max(0.0, used) * 1000, note),
-        Fault(name, "longest_stall", "ms", longest_stall_ms, note),
+        Fault(name, "longest_stall", "ms", stalls.used_ms, note),
+        Fault(name, "longest_gap", "ms", stalls.passed_ms, note),
     ]
 
 
@@ -143,7 +150,9 @@
         measure = partial(measure_control, lab, services, changes, idle_s)
         slopes = measure_slopes(QUANTITIES, sizes, held_out, measure, lab.say)
         faults: list[Fault] = []
-        ways = ("one_list",) if lab.options.quick else ("one_list", "changes_over_7_s", "single_changes")
+        ways = ["one_list", "stream_of_changes"]
+        if not lab.options.quick:  # these take minutes where a change costs much
+            ways.append("single_changes")
         for how in ways:
             found = play_zone(lab, services, held_out, how)
             for fault in found:
--- a/rainturn/emulator/discovery_service.py
+++ b/rainturn/emulator/discovery_service.py
@@ -147,7 +147,7 @@
         self.watchers: set[DiscoveryConnection] = set()
         self.traffic: dict[str, Traffic] = {}
         self.servers: list[asyncio.Server] = []
-        self._free_at = 0.0  # loop time at which a slow service has answered all calls before
+        self._queue: deque[tuple[DiscoveryConnection, int | None]] = deque()  # calls at a slow service
         self._reached = asyncio.Event()
 
     def accept(self, label: str) -> DiscoveryConnection:
@@ -209,9 +209,21 @@
         if not self.answer_ms:
             return connection.answer(self._news(index))
         connection.rest()
-        loop = asyncio.get_running_loop()
-        self._free_at = max(self._free_at, loop.time()) + self.answer_ms / 1000
-        loop.call_at(self._free_at, lambda: connection.answer(self._news(index)))
+        self._queue.append((connection, index))
+        if len(self._queue) == 1:
+            self._serve_next()
+
+    def _serve_next(self) -> None:
+        """Take the next call of a caller that is still there."""
+        while self._queue and self._queue[0][0].transport.is_closing():
+            self._queue.popleft()
+        if self._queue:
+            asyncio.get_running_loop().call_later(self.answer_ms / 1000, self._served)
+
+    def _served(self) -> None:
+        connection, index = self._queue.popleft()
+        connection.answer(self._news(index))
+        self._serve_next()
 
     def _news(self, index: int | None) -> bytes:
         return self.directory.whole() if index is None else self.directory.since(index)
--- a/rainturn/emulator/fleet.py
+++ b/rainturn/emulator/fleet.py
@@ -82,14 +82,18 @@
             shares.setdefault(number % len(self.hollow), []).append(number)
         return [(self.hollow[home], tuple(share)) for home, share in shares.items()]
 
-    def join(self, numbers: Iterable[int]) -> Joined:
+    def join(self, numbers: Iterable[int], within_s: float = JOIN_S) -> Joined:
         """Start gateways at once: how long until all have a list, and the processor time of all, in s."""
         shares = self._by_home(numbers)
         for worker, share in shares:
-            worker.send(Join(share, JOIN_S))
+            worker.send(Join(share, within_s))
             self.numbers += share
-        answers: list[Joined] = [worker.receive(JOIN_S + 10) for worker, _ in shares]
-        return Joined(max(a.took_s for a in answers), sum(a.cpu_s for a in answers))
+        answers: list[Joined] = [worker.receive(within_s + 20) for worker, _ in shares]
+        return Joined(
+            max(answer.took_s for answer in answers),
+            sum(answer.cpu_s for answer in answers),
+            sum(answer.without_list for answer in answers),
+        )
 
     def leave(self, numbers: Iterable[int]) -> None:
         """End gateways."""
--- a/rainturn/emulator/fleet_faults.py
+++ b/rainturn/emulator/fleet_faults.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Sequence
+from functools import partial
 
 from rainturn.emulator.commands import Changed, ChangeOne, Slow, Zone
 from rainturn.emulator.control_series import ZONE_PART
@@ -60,9 +61,10 @@
     restarted = everyone[: round(RESTARTED_PART * len(everyone))]
     before = fleet.read()
     fleet.leave(restarted)
-    joined = fleet.join(restarted)
+    joined = fleet.join(restarted, WITHIN_S)
     note = f"{len(restarted)} of {len(everyone)} gateways start again at once"
-    return _cost(fleet, before, name, note, joined.took_s)
+    without = Fault(name, "without_list", "gateways", float(joined.without_list), f"after {WITHIN_S:g} s")
+    return [without, *_cost(fleet, before, name, note, joined.took_s)]
 
 
 def play_slow_service(lab: Lab, fleet: Fleet) -> list[Fault]:
@@ -84,9 +86,9 @@
 
 def run_fleet_faults(lab: Lab, fleet: Fleet) -> list[Fault]:
     """All of them, on a fleet that has been measured."""
-    found = play_zone_lost(lab, fleet)
-    found += play_restarts(lab, fleet, "restart storm")
-    found += play_slow_service(lab, fleet)
-    for fault in found:
-        lab.say(f"  {fault.name}: {fault.quantity} {fault.value:.4g} {fault.unit} ({fault.note})")
+    found: list[Fault] = []
+    for play in (play_zone_lost, partial(play_restarts, name="restart storm"), play_slow_service):
+        for fault in play(lab, fleet):
+            lab.say(f"  {fault.name}: {fault.quantity} {fault.value:.4g} {fault.unit} ({fault.note})")
+            found.append(fault)
     return found
--- a/rainturn/emulator/gateway_roles.py
+++ b/rainturn/emulator/gateway_roles.py
@@ -81,10 +81,11 @@
             gateway = HollowGateway(number, self.gateways_in_fleet, self.addresses, seed)
             self.gateways[number] = gateway
             gateway.start()
-        async with asyncio.timeout(command.within_s):
-            while not all(self.gateways[number].version for number in command.numbers):
-                await asyncio.sleep(POLL_S)
-        joined = Joined(time.monotonic() - began, time.process_time() - used)
+        waiting = set(command.numbers)
+        while waiting and time.monotonic() - began < command.within_s:
+            waiting = {number for number in waiting if not self.gateways[number].version}
+            await asyncio.sleep(POLL_S if waiting else 0)
+        joined = Joined(time.monotonic() - began, time.process_time() - used, len(waiting))
         gc.collect()
         gc.freeze()  # as a gateway does once it has started
         return joined
@@ -161,6 +162,8 @@
                 if await says_pong(address):
                     del waiting[number]
             await asyncio.sleep(POLL_S)
+        for front in self.fronts.values():
+            front.close()
         self.fronts = {number: GatewayFront(address) for number, address in command.addresses.items()}
         return not waiting
 
--- a/rainturn/emulator/lab.py
+++ b/rainturn/emulator/lab.py
@@ -47,7 +47,7 @@
 
     def __init__(self, options: Options, say: Callable[[str], None], within_s: float) -> None:
         self.options = options
-        self.settle_s = min(1.0, options.window_s / 2)  # how long what has been begun may take to go evenly
+        self.settle_s = min(1.0, options.window_s / 4)  # how long what has been begun may take to go evenly
         self._say = say
         self.began = time.monotonic()
         self.until = self.began + within_s
@@ -78,6 +78,11 @@
         """Show how far the run is."""
         self._say(f"[{time.monotonic() - self.began:6.1f} s] {text}")
 
+    @property
+    def closed(self) -> bool:
+        """Whether the run is being ended."""
+        return self._over.is_set()
+
     def left_s(self) -> float:
         """How long the run may still take."""
         return self.until - time.monotonic()
--- a/rainturn/emulator/real_gateway.py
+++ b/rainturn/emulator/real_gateway.py
@@ -35,6 +35,11 @@
     return str(command)
 
 
+def described_command() -> str:
+    """That command as a result names it: an interpreter in place of the built one goes by its plain name."""
+    return run_command().replace(sys.executable, "python")
+
+
 def free_port() -> int:
     """A loopback port that is free now."""
     with socket.socket() as probe:
--- a/rainturn/emulator/request_series.py
+++ b/rainturn/emulator/request_series.py
@@ -35,8 +35,21 @@
 CHANGING_P50 = Quantity(ROLE, "added_p50_with_changes", "ms", PER)
 CHANGING_P99 = Quantity(ROLE, "added_p99_with_changes", "ms", PER)
 CHANGING_MOST = Quantity(ROLE, "added_most_with_changes", "ms", PER)
+# The same clients straight to a host: what the stand-ins and the machine add without a gateway.
+DIRECT_P50 = Quantity(ROLE, "added_p50_without_gateway", "ms", PER)
+DIRECT_P99 = Quantity(ROLE, "added_p99_without_gateway", "ms", PER)
 MEMORY = Quantity(ROLE, "process_memory", "MB", PER)
-QUANTITIES = (REQUEST_CPU, ADDED_P50, ADDED_P99, CHANGING_P50, CHANGING_P99, CHANGING_MOST, MEMORY)
+QUANTITIES = (
+    REQUEST_CPU,
+    DIRECT_P50,
+    DIRECT_P99,
+    ADDED_P50,
+    ADDED_P99,
+    CHANGING_P50,
+    CHANGING_P99,
+    CHANGING_MOST,
+    MEMORY,
+)
 
 
 class Bench:
@@ -63,6 +76,18 @@
         reading: ClientReading = self.client.ask(Read())
         return reading
 
+    def direct(self, seconds: float) -> ClientReading:
+        """The same load on a host without a gateway between."""
+        host, _, port = self.dials[0].rpartition(":")
+        self.client.ask(AwaitReady({0: (host, int(port))}))
+        self.client.ask(self.load())
+        time.sleep(self.lab.settle_s)
+        self.read()
+        time.sleep(seconds)
+        reading = self.read()
+        self.client.ask(LoadOff())
+        return reading
+
     def end(self) -> None:
         """End the stand-ins."""
         self.lab.end(self.client, self.host, self.counter, self.discovery)
@@ -73,6 +98,7 @@
     lab, seconds = bench.lab, bench.lab.options.window_s
     lab.check()
     bench.discovery.ask(SetList(hosts, bench.dials))
+    direct = bench.direct(seconds)
     gateway = lab.real(RealGateway(0, 1, *bench.at, seed=lab.options.seed))
     try:
         if not bench.client.ask(AwaitReady({0: gateway.address})):
@@ -94,6 +120,8 @@
         lab.end(gateway)
     return {
         REQUEST_CPU.name: 1e6 * used / max(1, quiet.requests - before.requests),
+        DIRECT_P50.name: direct.added_p50_ms,
+        DIRECT_P99.name: direct.added_p99_ms,
         ADDED_P50.name: quiet.added_p50_ms,
         ADDED_P99.name: quiet.added_p99_ms,
         CHANGING_P50.name: changing.added_p50_ms,
--- a/rainturn/emulator/scale.py
+++ b/rainturn/emulator/scale.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import os
+import threading
 import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from rainturn.emulator.comparison import run_comparison
 from rainturn.emulator.control_series import run_control_series
@@ -16,11 +17,12 @@
 from rainturn.emulator.fleet_series import FleetPlan, run_fleet_series
 from rainturn.emulator.lab import Lab, Options, OverBudget
 from rainturn.emulator.measurements import ScaleResult
-from rainturn.emulator.real_gateway import run_command
+from rainturn.emulator.real_gateway import described_command
 from rainturn.emulator.report import revision
 from rainturn.emulator.request_series import run_request_series
 from rainturn.emulator.virtual_fleet import VirtualPlan
 from rainturn.emulator.virtual_series import Partition
+from rainturn.emulator.workers import WorkerFailed
 
 QUICK_S = 40.0  # a part that would begin or go on after this is left out and named
 FULL_S = 1500.0
@@ -30,7 +32,7 @@
 PROCESSES = 6  # that share the hollow gateways
 GATEWAY_RATE = 277  # requests/s that one gateway of the planned fleet gets: 360,000 over 1,300
 REAL_RATE = 100.0  # of a real gateway whose added time is measured: it shares its cores with the stand-ins
-QUICK_CUSTOMERS = 4000
+QUICK_CUSTOMERS = 16_000
 
 
 @dataclass(frozen=True)
@@ -74,7 +76,8 @@
     least = QUICK_LEAST_GATEWAYS if options.quick else LEAST_GATEWAYS
     plan = FleetPlan(min(FLEET_HOSTS, options.hosts), options.window_s, 2 if options.quick else 8)
     fleet = Fleet(lab, options.gateways, 3 if options.quick else PROCESSES)
-    result.slopes += run_fleet_series(lab, fleet, plan, doubled(least, options.gateways))
+    sizes = doubled(least, options.gateways)
+    result.slopes += run_fleet_series(lab, fleet, plan, sizes[-4:] if options.quick else sizes)
     result.faults += run_fleet_faults(lab, fleet)
     fleet.end()
 
@@ -95,7 +98,7 @@
 def customers_part(lab: Lab, result: ScaleResult) -> None:
     """Memory against customers held."""
     most = min(lab.options.tenants, QUICK_CUSTOMERS) if lab.options.quick else lab.options.tenants
-    result.slopes += run_customers_series(lab, doubled(1000, most), most)
+    result.slopes += run_customers_series(lab, doubled(6000, most), most)
 
 
 def partition_part(lab: Lab, result: ScaleResult) -> None:
@@ -111,16 +114,24 @@
 PARTS = (
     Part("control path against hosts", control_part),
     Part("hollow against real", comparison_part),
-    Part("request path against hosts", request_part, in_quick=False),
     Part("discovery and counter against gateways", fleet_part),
+    Part("request path against hosts", request_part, in_quick=False),
     Part("counter traffic on a virtual clock", counter_part, timed=False),
     Part("memory of customers", customers_part, timed=False),
     Part("counter partitioned on a virtual clock", partition_part, timed=False),
 )
 
 
-def run_scale(options: Options, say: Callable[[str], None]) -> ScaleResult:
-    """Measure all parts, and leave out, by name, what has no time or memory left."""
+def run_scale(
+    options: Options,
+    say: Callable[[str], None],
+    keep: Callable[[ScaleResult], None] = lambda result: None,
+) -> ScaleResult:
+    """Measure all parts, and leave out, by name, what has no time or memory left.
+
+    `keep` gets what was found after each part, with the parts to come among those left out: a long run that
+    is ended from outside loses the part under way only.
+    """
     result = ScaleResult(
         options.gateways,
         options.hosts,
@@ -131,17 +142,25 @@
         options.quick,
         revision(),
         load_average=os.getloadavg()[0],
-        real_command=run_command(),
+        real_command=described_command(),
     )
     began = time.monotonic()
     with Lab(options, say, QUICK_S if options.quick else FULL_S) as lab:
-        run_parts(lab, result)
-        result.processes, result.peak_memory_mb = lab.processes, lab.peak_mb
-    result.seconds = time.monotonic() - began
+        to_come = [part.name for part in PARTS if part.in_quick or not options.quick]
+        kept = threading.Lock()
+
+        def done(part: Part) -> None:
+            with kept:
+                to_come.remove(part.name)
+                result.processes, result.peak_memory_mb = lab.processes, lab.peak_mb
+                result.seconds = time.monotonic() - began
+                keep(replace(result, skipped=[*result.skipped, *(f"{name}: not run" for name in to_come)]))
+
+        run_parts(lab, result, done)
     return result
 
 
-def run_parts(lab: Lab, result: ScaleResult) -> None:
+def run_parts(lab: Lab, result: ScaleResult, done: Callable[[Part], None]) -> None:
     """Run the timed parts one after another, and the others, in one row, beside them.
 
     A quick run has no time for that: all its parts go side by side, and its processor times are rougher.
@@ -152,20 +171,23 @@
     rows = [*([part] for part in timed), others] if quick else [timed, others]
     pool = ThreadPoolExecutor(len(rows))
     try:
-        for future in [pool.submit(run_row, lab, result, row) for row in rows]:
+        for future in [pool.submit(run_row, lab, result, row, done) for row in rows]:
             future.result()
     finally:
         # After an error or Ctrl-C the other rows end with their processes, which the lab ends next.
         pool.shutdown(wait=False, cancel_futures=True)
 
 
-def run_row(lab: Lab, result: ScaleResult, parts: Sequence[Part]) -> None:
+def run_row(lab: Lab, result: ScaleResult, parts: Sequence[Part], done: Callable[[Part], None]) -> None:
     """Run parts one after another; what the run's time or memory does not allow is left out and named."""
     for part in parts:
         lab.say(part.name)
         try:
             lab.check()
             part.run(lab, result)
-        except OverBudget as error:
+        except (OverBudget, WorkerFailed) as error:
+            if lab.closed:
+                return  # the run is being ended: no failure of this part
             lab.say(f"left out: {part.name}: {error}")
             result.skipped.append(f"{part.name}: {error}")
+        done(part)
--- a/rainturn/emulator/stalls.py
+++ b/rainturn/emulator/stalls.py
@@ -1,41 +1,54 @@
-"""Watches an event loop for stalls: how long one turn of it kept the processor."""
+"""Watches an event loop for stalls: how long one turn of it takes."""
 
 from __future__ import annotations
 
 import asyncio
 import time
+from dataclasses import dataclass
 
 TICK_S = 0.002
 
 
+@dataclass(frozen=True)
+class Stalls:
+    """The longest stall in ms, as processor time of the loop's thread and as wall time.
+
+    The first leaves out what other processes on the same cores take, but also what the loop waits for the
+    interpreter's lock while a thread of its own process holds it; the second has both in it.
+    """
+
+    used_ms: float = 0.0
+    passed_ms: float = 0.0
+
+
 class StallWatch:
-    """Ticks on the loop, and keeps the most processor time that the process used between two ticks.
+    """Ticks on the loop, and keeps the most time between two ticks.
 
-    Processor time, not wall time: what other processes on the same cores take is no stall of this one. The
-    ticks cost about 1% of a core, so it runs only while stalls are measured.
+    The ticks cost about 1% of a core, so it runs only while stalls are measured.
     """
 
     def __init__(self) -> None:
-        self._longest_s = 0.0
+        self._used_s = self._passed_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._before = 0.0
+        self._before = (0.0, 0.0)
 
     def start(self) -> None:
         """Begin to watch anew."""
         self.stop()
-        self._longest_s = 0.0
-        self._before = time.process_time()
+        self._used_s = self._passed_s = 0.0
+        self._before = time.thread_time(), time.monotonic()
         self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
     def _tick(self) -> None:
-        now = time.process_time()
-        self._longest_s = max(self._longest_s, now - self._before)
-        self._before = now
+        used, now = time.thread_time(), time.monotonic()
+        self._used_s = max(self._used_s, used - self._before[0])
+        self._passed_s = max(self._passed_s, now - self._before[1] - TICK_S)
+        self._before = used, now
         self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
-    def stop(self) -> float:
-        """Watch no more, and return the longest stall in ms of processor time."""
+    def stop(self) -> Stalls:
+        """Watch no more, and return the longest stall."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        return 1000 * self._longest_s
+        return Stalls(1000 * self._used_s, 1000 * self._passed_s)
--- a/rainturn/emulator/virtual_series.py
+++ b/rainturn/emulator/virtual_series.py
@@ -8,7 +8,6 @@
 import asyncio
 import gc
 import time
-import tracemalloc
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
@@ -67,23 +66,20 @@
 def customers_memory(plan: VirtualPlan) -> Mapping[str, float]:
     """Memory of one gateway for `plan.tenants` customers that each come once, in MB and in bytes for one.
 
-    Counted by the interpreter's allocations: memory that it has freed before, and reuses, hides nothing.
+    Memory that the new process has freed before, some tenths of a MB, may hide a part of few customers'.
     """
 
     async def main(loop: VirtualLoop) -> Mapping[str, float]:
         fleet = VirtualFleet(loop, replace(plan, tenants=1))
         await fleet.start()
-        tracemalloc.start()
-        gateway, began = fleet.gateways[0], loop.time()
+        gateway, held, began = fleet.gateways[0], held_mb(), loop.time()
         for number in range(plan.tenants):
             due = began + ARRIVE_WITHIN_S * number / plan.tenants
             if due > loop.time():
                 await asyncio.sleep(due - loop.time())
             gateway.request(Draw(Tenant((1 << 30) + number, 3, 1, 0), 0, 0, 1.0))
         await asyncio.sleep(SETTLE_S)
-        gc.collect()
-        held = tracemalloc.get_traced_memory()[0] / MB
-        tracemalloc.stop()
+        held = held_mb() - held
         await fleet.stop()
         return {"customers_memory": held, "bytes_per_customer": held * MB / plan.tenants}
 
--- a/rainturn/emulator/workers.py
+++ b/rainturn/emulator/workers.py
@@ -87,6 +87,12 @@
                 pipe.send(Trouble(traceback.format_exc()))
 
 
+def close_pipe(pipe: Connection) -> None:
+    """Close a pipe; another thread of an interrupted run may wait on it, or have closed it."""
+    with suppress(OSError):
+        pipe.close()
+
+
 class Worker:
     """A role in a process of its own, which ends with the run, however that ends."""
 
@@ -140,7 +146,7 @@
         if self.process.is_alive():
             self.process.kill()
             self.process.join()
-        self.pipe.close()
+        close_pipe(self.pipe)
 
 
 def ask_all(workers: Sequence[Worker], command: Any, within_s: float = ASK_S) -> list[Any]:
@@ -189,4 +195,4 @@
         if self.process.is_alive():
             self.process.kill()
         self.process.join()
-        self.pipe.close()
+        close_pipe(self.pipe)
