Emulator: end a run at an interrupt also where it began with SIGINT ignored

A shell starts background jobs with SIGINT ignored, and Python then leaves it so: an interrupted scale run went on to its end, and the test of that had the verdict of the place where it was started. The command takes the signal explicitly.

--- a/rainturn/emulator/__main__.py
+++ b/rainturn/emulator/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -78,6 +79,8 @@
     if not file.parent.is_dir():
         print(f"python -m rainturn.emulator: no such folder: {file.parent}", file=sys.stderr)
         return BAD_ARGUMENT
+    # A shell starts background jobs with SIGINT ignored; an interrupt has to end the run there too.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     try:
         result = run_scale(
             options_from(arguments),
