Tests: customers' memory is measured in a process of its own, as in a scale run

The test measured the growth of its own process for 400 customers, some 0.6 MB. Where earlier tests had left room in the heap nothing grew, and the test failed (in one whole run; alone it passed). It now measures 4,000 customers in a fresh process.

--- a/tests/test_emulator_virtual.py
+++ b/tests/test_emulator_virtual.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import time
 from typing import Any
 
 import pytest
 
 from rainturn.emulator.quota_ledger import QuotaLedger, Units
+from rainturn.emulator.real_gateway import ROOT
 from rainturn.emulator.virtual_fleet import VirtualPlan
-from rainturn.emulator.virtual_series import Partition, counter_traffic, customers_memory, partition
+from rainturn.emulator.virtual_series import Partition, counter_traffic, partition
 from rainturn.emulator.virtual_time import LATENCY_S, VirtualClock, VirtualLoop, run_virtual
 from rainturn.emulator.workload import PLANS
 
@@ -112,8 +115,15 @@
 
 
 def test_customers_take_memory() -> None:
-    found = customers_memory(VirtualPlan(1, 1, 10, 400, 1.0, 1))
-    assert 200 < found["bytes_per_customer"] < 20_000
+    """In a process of its own, as in a scale run: here the heap may have room for them already."""
+    program = (
+        "from rainturn.emulator.virtual_series import VirtualPlan, customers_memory; "
+        "print(customers_memory(VirtualPlan(1, 1, 10, 4000, 1.0, 1))['bytes_per_customer'])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert 200 < float(found.stdout) < 20_000
 
 
 def test_a_partition_is_told_by_phase_and_region() -> None:
