Quota: a correction that is taken back is no loss of counts

Cause: gateways that find in the same moment that a customer's count is off each tell the whole difference, and all but the first take it back. Each of these take-backs made the count fall by that much, and lost_units took the fall for counts that the counter had lost, and told them again, which the next gateway found to be too much. Nothing bounded what a count may have held.

Change: what may have been lost in a window is bounded by what the count of an empty store shows (burst + rate x age); a fall from beyond that is no loss.

--- a/rainturn/decisions/quota.py
+++ b/rainturn/decisions/quota.py
@@ -105,11 +105,14 @@
     """
     plan, rest, age = customer.plan, total - call.amount, customer.window_age(now, call.window)
     if call.window == customer.window:
-        fallen = customer.total - rest
-        if fallen < max(2.0, plan.burst / 2, 0.0 if loss_known else customer.total / 2):
-            return 0.0
         empty = plan.burst + plan.rate * age / 1000
-        return max(fallen, min(customer.total, empty - rest) if rest < customer.total / 4 else 0.0)
+        # Guards against corrections that several gateways made at once, and that are taken back, being taken
+        # for lost counts: no more can have been lost than the count of an empty store.
+        held = min(customer.total, empty)
+        fallen = held - rest
+        if fallen < max(2.0, plan.burst / 2, 0.0 if loss_known else held / 2):
+            return 0.0
+        return max(fallen, min(held, empty - rest) if rest < held / 4 else 0.0)
     full = plan.rate * (age - (now - fell_at)) / 1000  # what a full store's count had come to
     known = full > 0.0 and rest < full - LEAST_CORRECTION * plan.burst
     return full + plan.burst / 2 - rest if known else 0.0
--- a/tests/test_counter_corrections.py
+++ b/tests/test_counter_corrections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from rainturn import interface as it
@@ -32,9 +34,22 @@
             for drive, call, total in answers:
                 self.collect(drive, drive.count(call, total))
 
+    def settle_in_any_order(self, rng: random.Random) -> None:
+        """Add calls and hand out answers one by one, in an order that `rng` draws, until none is left."""
+        answers: list[tuple[Drive, it.Count, float]] = []
+        while self.calls or answers:
+            chosen = rng.randrange(len(self.calls) + len(answers))
+            if chosen < len(self.calls):
+                drive, call = self.calls.pop(chosen)
+                self.totals[call.name] = self.totals.get(call.name, 0.0) + call.amount
+                answers.append((drive, call, self.totals[call.name]))
+            else:
+                drive, call, total = answers.pop(chosen - len(self.calls))
+                self.collect(drive, drive.count(call, total))
 
-def _first_seen_at_once(gateways: int, plan: it.Plan, window_age: float) -> tuple[list[Drive], Counter]:
-    """Gateways that all get a request of the same unknown customer in the same moment."""
+
+def _all_ask_at_once(gateways: int, plan: it.Plan, window_age: float) -> tuple[list[Drive], Counter]:
+    """Gateways that all get a request of the same unknown customer in the same moment, not answered yet."""
     drives = [
         Drive(settings(gateway=number, gateways=gateways, plans=(plan,)), now=100_000.0 + window_age)
         for number in range(gateways)
@@ -42,6 +57,12 @@
     counter = Counter(drives)
     for drive in drives:
         counter.collect(drive, drive.arrive(spread=float(gateways))[1])
+    return drives, counter
+
+
+def _first_seen_at_once(gateways: int, plan: it.Plan, window_age: float) -> tuple[list[Drive], Counter]:
+    """The same, with all calls and answers in rounds until none is left or it does not settle."""
+    drives, counter = _all_ask_at_once(gateways, plan, window_age)
     counter.settle()
     return drives, counter
 
@@ -60,3 +81,13 @@
     assert not counter.calls, "still correcting after so many rounds"
     assert max(abs(total) for total in counter.totals.values()) <= 2 * plan.burst + plan.rate * 3.0
     assert all(of(drive.arrive(spread=20.0)[1], it.Refuse) == [] for drive in drives)
+
+
+@pytest.mark.parametrize("gateways", [2, 6, 12, 20, 40])
+@pytest.mark.parametrize("seed", range(4))
+def test_corrections_settle_in_any_order_of_calls_and_answers(gateways: int, seed: int) -> None:
+    """A correction that is taken back makes the count fall: that is no loss of counts."""
+    plan = it.Plan(price=1, rate=1000, burst=1000)
+    _, counter = _all_ask_at_once(gateways, plan, 1500.0)
+    counter.settle_in_any_order(random.Random(seed))
+    assert max(abs(total) for total in counter.totals.values()) <= 2 * plan.burst + plan.rate * 3.0
