Clients: count a request's time from its last byte at the socket

Cause: a request's deadline was taken when its command was parsed.

Change: each connection keeps when its bytes came (arrival_times.py): when they are read, and while nothing is read when the system holds them, looked at every 0.1 s with the client's end. A command's time counts from the mark of its last byte.

--- a/rainturn/node/client_commands.py
+++ b/rainturn/node/client_commands.py
@@ -57,10 +57,13 @@
         self.classes = {name.encode(): number for number, name in enumerate(names.classes)}
         self.plans = {name.encode(): number for number, name in enumerate(names.plans)}
 
-    def request(self, words: list[bytes], client: Responder, body: Body | None = None) -> Request:
+    def request(
+        self, words: list[bytes], client: Responder, arrived_at: float, body: Body | None = None
+    ) -> Request:
         """Read `API.READ|API.WRITE customer id fields [body]`, or raise `MalformedCommand`.
 
-        A body that is passed on comes as `body` and is not among the words.
+        Its time counts from `arrived_at`, when its last byte came (Unix time in ms). A body that is passed on
+        comes as `body` and is not among the words.
         """
         verb = words[0].upper()
         if verb not in REQUEST_VERBS:
@@ -73,7 +76,7 @@
         number = self._request_class(verb, fields)
         units, spread = self._amounts(fields)
         time_limit_ms = min(float(fields[b"d"]), self.node.settings.classes[number].deadline_ms) - MARGIN_MS
-        deadline = self.node.clock.now() + time_limit_ms
+        deadline = arrived_at + time_limit_ms
         self.node.serial += 1
         arrival = it.Arrived(
             self.node.serial,
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import Protocol, cast
 
+from rainturn.node.arrival_times import ArrivalTimes
 from rainturn.node.body import Body
 from rainturn.node.client_commands import REQUEST_VERBS, CommandParser, MalformedCommand
 from rainturn.node.client_replies import ClientReplies
@@ -15,7 +16,7 @@
 from rainturn.node.counters import Ending
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
-from rainturn.node.resp import Spoilt, command, unsent
+from rainturn.node.resp import Spoilt, command, unread, unsent
 
 MAX_ERRORS = 8  # commands in error on one connection; one more ends it
 MAX_PENDING = 32  # requests of one connection at once; more wait unread
@@ -48,6 +49,7 @@
         super().__init__()
         self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
         self.buffer = b""  # commands that are incomplete, or have to wait
+        self.arrivals = ArrivalTimes()
         self.body: Body | None = None  # of the command that is coming in
         self.uploading: Request | None = None  # that command's request, if its body is passed on
         self.unsent_bytes = 0  # how much the client had left unread at the last check
@@ -74,6 +76,7 @@
         """Read commands; bytes that are no command end the connection, and what follows them is dropped."""
         if self.closing:
             return
+        self.arrivals.note_received(len(data), self.node.clock.now())
         self.buffer = self.buffer + data if self.buffer else data
         self._parse()
 
@@ -82,6 +85,7 @@
             return
         self.parsing = True
         data, at, incomplete, commands = self.buffer, 0, False, 0
+        begin = self.arrivals.received - len(data)  # the offset of these bytes in the stream
         try:
             while (
                 at < len(data)
@@ -90,9 +94,12 @@
                 and (self.body is not None or len(self.pending) < MAX_PENDING)
             ):
                 if self.body is not None:
-                    at, complete = self._read_body(self.body, data, at)
+                    body = self.body
+                    at, complete = self._read_body(body, data, at)
+                    arrived_at = self.arrivals.take(begin + at)
                     if not complete:
                         break
+                    self._end_body(body, arrived_at)
                     continue
                 if (parsed := command(data, at)) is None:
                     incomplete = True
@@ -100,9 +107,9 @@
                 at = parsed.end
                 commands += 1
                 if parsed.body is None:
-                    self._execute(parsed.words)
+                    self._execute(parsed.words, self.arrivals.take(begin + at))
                 else:
-                    self._begin_body(Body(parsed.words, parsed.body))
+                    self._begin_body(Body(parsed.words, parsed.body), self.arrivals.take(begin + at))
         except Spoilt as error:
             self._reject(str(error))
         finally:
@@ -131,7 +138,7 @@
         if self.is_connected():
             self._parse()
 
-    def _begin_body(self, body: Body) -> None:
+    def _begin_body(self, body: Body, arrived_at: float) -> None:
         """Begin a command with a body: at once if that is passed on, else when it is whole.
 
         A command with a short body proves the client already now if its head can be served.
@@ -139,10 +146,10 @@
         self.body = body
         body.resume = self._update_reading
         if body.long:
-            self._execute(body.words, body)
+            self._execute(body.words, arrived_at, body)
         elif not self.proven:
             with contextlib.suppress(MalformedCommand):
-                self.owner.parser.request([*body.words, b""], self)
+                self.owner.parser.request([*body.words, b""], self, arrived_at)
                 self._prove()
 
     def _read_body(self, body: Body, data: bytes, at: int) -> tuple[int, bool]:
@@ -158,16 +165,16 @@
             return at, False
         if tail != b"\r\n":
             raise Spoilt("a length does not fit")
-        self._end_body(body)
         return at + 2, True
 
-    def _end_body(self, body: Body) -> None:
+    def _end_body(self, body: Body, arrived_at: float) -> None:
+        """The last byte of a command with a body came at that time (Unix time in ms)."""
         self.body, request, self.uploading = None, self.uploading, None
         body.end()
         if not body.long:
-            self._execute([*body.words, b"".join(body.held)])
+            self._execute([*body.words, b"".join(body.held)], arrived_at)
         elif request is not None:
-            self.node.body_whole(request, self.node.clock.now() + request.time_limit_ms)
+            self.node.body_whole(request, arrived_at + request.time_limit_ms)
         if body.long and not self.pending:
             self._on_all_answered()
 
@@ -183,6 +190,7 @@
             self._cancel_liveness_timer()
             if pause:
                 self.transport.pause_reading()
+                self._note_unread()
                 self.liveness_timer = self.node.loop.call_later(LIVENESS_CHECK_S, self._check_liveness)
             else:
                 self.transport.resume_reading()
@@ -202,13 +210,16 @@
 
     # Commands.
 
-    def _execute(self, words: list[bytes], body: Body | None = None) -> None:
-        """Carry out a command; one with a body that is passed on need not be whole."""
+    def _execute(self, words: list[bytes], arrived_at: float, body: Body | None = None) -> None:
+        """Carry out a command; one with a body that is passed on need not be whole.
+
+        `arrived_at`: when the last of its bytes so far came, Unix time in ms.
+        """
         verb = words[0].upper()
         if body is not None:
             body.over = True  # until a request takes it
         if verb in REQUEST_VERBS:
-            self._begin_request(words, body)
+            self._begin_request(words, arrived_at, body)
         elif verb == b"PING":
             self._prove()
             self._reply(b"+PONG\r\n" if self.node.ready() else b"-ERR not ready\r\n")
@@ -218,9 +229,9 @@
         else:
             self._reply_error("unknown command")
 
-    def _begin_request(self, words: list[bytes], body: Body | None) -> None:
+    def _begin_request(self, words: list[bytes], arrived_at: float, body: Body | None) -> None:
         try:
-            request = self.owner.parser.request(words, self, body)
+            request = self.owner.parser.request(words, self, arrived_at, body)
         except MalformedCommand as error:
             return self._reply_error(str(error))
         self._prove()
@@ -370,8 +381,13 @@
     def _check_liveness(self) -> None:
         """See whether a client has gone of which nothing is read, so that its end is not read either."""
         if self.is_connected():
+            self._note_unread()
             self.liveness_timer = self.node.loop.call_later(LIVENESS_CHECK_S, self._check_liveness)
 
+    def _note_unread(self) -> None:
+        """Note what has come while nothing is read: the time of these commands runs already."""
+        self.arrivals.note_unread(unread(self.transport), self.node.clock.now())
+
     def _cancel_liveness_timer(self) -> None:
         if self.liveness_timer is not None:
             self.liveness_timer.cancel()
--- a/rainturn/node/resp.py
+++ b/rainturn/node/resp.py
@@ -215,6 +215,14 @@
     return transport.get_write_buffer_size() + int.from_bytes(held, sys.byteorder)
 
 
+def unread(transport: asyncio.Transport) -> int:
+    """Bytes that have come and lie in the system; 0 where it does not tell."""
+    waiting = bytearray(4)
+    with contextlib.suppress(OSError):  # the other side has broken it
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+    return int.from_bytes(waiting, sys.byteorder)
+
+
 def end_sending(transport: asyncio.Transport) -> None:
     """End our side of a connection now: the loop closes what is aborted only in its next turn."""
     if transport.is_closing():
