Hosts: a start that is news is recent, whatever the wall clocks say

Cause: a cold host's age was our wall clock less the list's born_ms, and only a later born_ms counted as a start.

Another born_ms than before is a start. Once the first list of the process is had, a start that is told is seconds old: its time is taken if it lies up to 3 s back, and else now. In the first list, where it names no start within the time that warms a host, the newest hosts are taken for just started, as nothing tells a quiet hour from a clock that is ahead.

--- a/rainturn/host_index.py
+++ b/rainturn/host_index.py
@@ -16,6 +16,7 @@
 
 from rainturn import interface as it
 from rainturn.cold_hosts import ColdHosts
+from rainturn.host_ages import HostAges
 from rainturn.records import Host, Standing
 
 RING_STRIDE = 0.618  # the golden section: neighbours this part of a round apart lie far apart
@@ -93,6 +94,7 @@
         self.settings = settings
         self.warmth = warmth  # by time and host; a host below 1 is cold
         self.cold_share = cold_share  # of an even share of the requests, by host, warmth and mean size
+        self.ages = HostAges(settings.rules.warm_ms)
         self.position = ring_position(settings)
         self.hosts: dict[int, Host] = {}
         self.leaving: dict[int, Host] = {}  # gone from the list, with attempts out
@@ -114,6 +116,7 @@
     def update(self, now: float, event: it.HostList) -> None:
         """Follow a list or a change of it. Entries that say nothing new cost a comparison."""
         hosts = self.hosts
+        self.ages.follow(now, event)
         if event.kind is not it.ListKind.DELTA:
             for number in hosts.keys() - {entry.host for entry in event.entries}:
                 host = hosts[number]
@@ -124,17 +127,17 @@
             known = hosts.get(number)
             if known is None:
                 if state is not it.HostState.GONE:
-                    hosts[number] = known = Host(entry, now)
+                    hosts[number] = known = Host(entry, now, self.ages)
                     self._place(now, known)
             elif (
                 known.zone != zone
                 or known.cell != cell
                 or known.size != size
-                or started > known.started
+                or known.is_restart(started)
                 or known.ready is not (state is it.HostState.READY)
                 or known.gone is not (state is it.HostState.GONE)
             ):
-                known.update(entry)
+                known.update(entry, now, self.ages)
                 self._place(now, known)
         for host in list(self.leaving.values()):
             self.forget_if_gone(host)
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -243,7 +243,7 @@
     def update_host(self, host: int, address: tuple[str, int], state: it.HostState, started: float) -> None:
         """Follow the host list: close the idle connections of a host that moved, restarted or leaves."""
         pool, ready = self.pools[host], state is it.HostState.READY
-        if pool.address != address or started > pool.started or not ready:
+        if pool.address != address or started != pool.started or not ready:
             pool.address, pool.started = address, started
             pool.close_idle()
         pool.leaving = not ready
--- a/rainturn/records.py
+++ b/rainturn/records.py
@@ -11,6 +11,7 @@
 
 from rainturn import counts
 from rainturn import interface as it
+from rainturn.host_ages import LONG_AGO, HostAges
 
 IDLE_MS = 120_000.0  # a customer without a rate that is unseen for this long is forgotten
 LATENCY_MEMORY_MS = 3000.0  # without news a host's slowness fades to the usual over this
@@ -37,6 +38,7 @@
         "ready",
         "gone",
         "started",
+        "listed_start",
         "open_attempts",
         "latency",
         "latency_at",
@@ -51,7 +53,7 @@
         "counted_size",
     )
 
-    def __init__(self, entry: it.HostEntry, now: float) -> None:
+    def __init__(self, entry: it.HostEntry, now: float, ages: HostAges) -> None:
         self.id = entry.host
         self.order = entry.order or entry.host * HASH_FACTOR % (1 << 32)
         self.open_attempts = 0  # those that are load: their requests are whole and no answer has begun
@@ -63,23 +65,29 @@
         self.failures = 0  # in a row
         self.resets = 0  # connections broken in a row
         self.failing_since = 0.0
-        self.started = 0.0  # 0: long ago
+        self.started = LONG_AGO  # on this gateway's clock
+        self.listed_start = LONG_AGO  # as the list says, by whatever clock
         self.in_ring = False  # these three are kept by the index of hosts
         self.standing = Standing.NOT_READY
         self.counted_size = 0.0
-        self.update(entry)
+        self.update(entry, now, ages)
 
-    def update(self, entry: it.HostEntry) -> None:
-        """Take over a line of the list; a later start under the old number makes the host cold again."""
+    def update(self, entry: it.HostEntry, now: float, ages: HostAges) -> None:
+        """Take over a line of the list; another start under the old number makes the host cold again."""
         self.zone = entry.zone
         self.cell = entry.cell
         self.size = entry.size
         self.ready = entry.state is it.HostState.READY
         self.gone = entry.state is it.HostState.GONE
-        if entry.started > self.started:
-            self.started = entry.started
+        if self.is_restart(entry.started):
+            self.listed_start = entry.started
+            self.started = max(self.started, ages.started_at(now, entry.started))
             self.failures = 0
 
+    def is_restart(self, listed_start: float) -> bool:
+        """Whether the list tells another start; an earlier one is another, too, as clocks may be set back."""
+        return listed_start not in (LONG_AGO, self.listed_start)
+
     def slowness(self, now: float) -> float:
         """Time of its answers against the usual one; without news this fades to 1."""
         return 1 + (self.latency - 1) * math.exp(-(now - self.latency_at) / LATENCY_MEMORY_MS)
--- a/tests/test_audit_clocks.py
+++ b/tests/test_audit_clocks.py
@@ -24,7 +24,7 @@
         sends += of(actions, it.Send)
     for send in sends:
         drive.end(send, it.Outcome.OK, elapsed=10.0)
-    return sum(send.host == host for send in sends) / REQUESTS
+    return float(sum(send.host == host for send in sends) / REQUESTS)
 
 
 def _entry(host: int, started: float) -> it.HostEntry:
--- a/tests/test_host_index.py
+++ b/tests/test_host_index.py
@@ -29,6 +29,7 @@
 
     entry: it.HostEntry
     started: float
+    listed: float = 0.0
     standing: str = "out"  # or cold or warm, as last looked at
     busy: bool = False
 
@@ -39,6 +40,7 @@
     def __init__(self, config: it.Settings) -> None:
         self.config = config
         self.lines: dict[int, Line] = {}
+        self.news_from, self.newest = math.inf, -math.inf
         self.fleet, self.mean_size = 1.0, 0.0
 
     def warmth(self, now: float, started: float) -> float:
@@ -52,7 +54,16 @@
         part = min(1.0, line.entry.size / self.mean_size) if self.mean_size else 1.0
         return self.config.rules.fall_multiple / 3 * self.warmth(now, line.started) * part
 
+    def start(self, now: float, listed: float) -> float:
+        if now >= self.news_from:
+            return listed if now - 3000 <= listed <= now else now
+        return min(now, listed + (now - self.newest if now - self.newest > self.config.rules.warm_ms else 0))
+
     def update(self, now: float, event: it.HostList) -> None:
+        if self.news_from == math.inf and event.kind is not it.ListKind.CACHED:
+            self.news_from = now + 1000
+        if now < self.news_from:
+            self.newest = max([self.newest, *(entry.started for entry in event.entries if entry.started)])
         if event.kind is not it.ListKind.DELTA:
             named = {entry.host for entry in event.entries}
             for number in [number for number in self.lines if number not in named]:
@@ -74,9 +85,11 @@
                 return
             line = self.lines[entry.host] = Line(entry, 0.0)
         same = entry._replace(started=0.0, order=0) == line.entry._replace(started=0.0, order=0)
-        if not same or entry.started > line.started or line.standing == "out":
+        restart = entry.started not in (0.0, line.listed)
+        if not same or restart or line.standing == "out":
             line.entry = entry._replace(order=line.entry.order)
-            line.started = max(line.started, entry.started)
+            if restart:
+                line.listed, line.started = entry.started, max(line.started, self.start(now, entry.started))
             line.standing = self.look(now, line)
 
     def look(self, now: float, line: Line) -> str:
--- a/tests/test_standing_process.py
+++ b/tests/test_standing_process.py
@@ -268,7 +268,8 @@
     run(main())
 
 
-def test_thirty_gateways_together_do_not_push_a_cold_host_over() -> None:
+@pytest.mark.parametrize("clock_off_s", [-3600, -10, 0, 3600])
+def test_thirty_gateways_together_do_not_push_a_cold_host_over(clock_off_s: float) -> None:
     """Each knows only its own requests; the bound is that of all of them, N + 2 x root of N + 2."""
 
     async def main() -> None:
@@ -282,7 +283,7 @@
                 world = World(wire=wire, descriptors=80, seed=f"{number:x}")
                 await stack.enter_async_context(world)
                 hosts = [entry(f"h{n}", peer.dial) for n, peer in enumerate(peers)]
-                hosts[0]["born_ms"] = time.time() * 1000  # it has just started
+                hosts[0]["born_ms"] = (time.time() + clock_off_s) * 1000  # it has just started
                 world.parts.discovery.apply({"seq": 2, "whole": True, "hosts": hosts})
                 clients.append(await world.client())
             for n in range(each):
