--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import shutil
 import signal
@@ -21,25 +20,10 @@
 from rainturn.node.host_list import parse_address
 from rainturn.node.resp import pack
 from rainturn.settings import settings_from
+from tests.program import config_file, log_line, started
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
 
-def _config(folder: Path, **change: Any) -> str:
-    source = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "counter": "127.0.0.1:1",
-        "seed": "2a",
-        "limits": {"memory_mb": 192, "sockets": 1024},
-        "settings": WIRE,
-        "known": {"seq": 1, "whole": True, "hosts": []},
-    } | change
-    path = folder / "config.json"
-    path.write_text(json.dumps(source))
-    return str(path)
-
-
 @pytest.mark.parametrize(
     "change",
     [
@@ -58,7 +42,7 @@
 def test_what_cannot_be_used_is_one_plain_line_and_an_exit_code(tmp_path: Path, change: Any) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
-        path = _config(tmp_path, **({"listen": listen} | (change if isinstance(change, dict) else {})))
+        path = config_file(tmp_path, **({"listen": listen} | (change if isinstance(change, dict) else {})))
         if change == "text":
             Path(path).write_text("no JSON")
         done = subprocess.run(
@@ -82,7 +66,7 @@
             return served()
 
         host, counter = await Peer(handler).start(), await Peer(Totals()).start()
-        path = _config(
+        path = config_file(
             tmp_path, counter=counter.dial, known={"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
         )
         process = await asyncio.create_subprocess_exec(
@@ -184,10 +168,10 @@
             return served()
 
         host, counter = await Peer(handler).start(), await Peer(Totals()).start()
-        path = _config(
+        path = config_file(
             tmp_path, counter=counter.dial, known={"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]}
         )
-        process, address = await _started(path)
+        process, address = await started(path)
         client, hanging = [await Client.connect(address) for _ in range(2)]
         client.ask(b"1")
         hanging.ask(b"hangs", b"pay", wait=1500, body=b"x")
@@ -195,9 +179,9 @@
             await soon(host.commands.get())
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGHUP)
-        await _line(process, b"stopping")
+        await log_line(process, b"stopping")
         process.send_signal(signal.SIGHUP)
-        await _line(process, b"configuration read")
+        await log_line(process, b"configuration read")
         process.send_signal(signal.SIGTERM)
         client.ask(b"2")  # its connection is open yet
         await soon(host.commands.get())
@@ -213,7 +197,7 @@
 
 def test_sigterm_before_it_is_ready_ends_it_and_leaves_no_trace(tmp_path: Path) -> None:
     async def main() -> None:
-        path = _config(tmp_path)
+        path = config_file(tmp_path)
         for point in (b"", b"control", b"listening"):
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -223,7 +207,7 @@
                 env=os.environ | {"EDGE_CONFIG": path, "EDGE_CONTROL": "127.0.0.1:0"},
             )
             if point:
-                await _line(process, point)
+                await log_line(process, point)
             process.send_signal(signal.SIGTERM)
             rest = await soon(process.stderr.read()) if process.stderr is not None else b""
             assert await soon(process.wait()) in (0, -signal.SIGTERM) and b"Traceback" not in rest, rest
@@ -231,27 +215,6 @@
     run(main())
 
 
-async def _started(path: str, **environment: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "rainturn.node",
-        stderr=asyncio.subprocess.PIPE,
-        env=os.environ | {"EDGE_CONFIG": path} | environment,
-    )
-    return process, parse_address((await _line(process, b"listening")).split()[-1])
-
-
-async def _line(process: asyncio.subprocess.Process, word: bytes) -> str:
-    """The next line of the log that holds a word."""
-    assert process.stderr is not None
-    line: bytes = await soon(process.stderr.readline())
-    while word not in line:
-        assert line, "it ended"
-        line = await soon(process.stderr.readline())
-    return str(line, "ascii")
-
-
 def test_sighup_moves_discovery_and_counter_and_loses_nothing_and_a_broken_file_changes_nothing(
     tmp_path: Path,
 ) -> None:
@@ -272,7 +235,7 @@
             "known": {"seq": 1, "whole": True, "hosts": [entry("h", old.dial)]},
         }
         agents[0].put({"seq": 900, "whole": True, "hosts": [entry("h", old.dial)]})
-        process, address = await _started(_config(tmp_path, **first), EDGE_DISCOVERY=dials[0])
+        process, address = await started(config_file(tmp_path, **first), EDGE_DISCOVERY=dials[0])
         while "index=900" not in await soon(agents[0].calls.get()):
             pass
         client, other = await Client.connect(address), await Client.connect(address)
@@ -280,11 +243,11 @@
         await soon(old.commands.get())
         (tmp_path / "config.json").write_text("{")
         process.send_signal(signal.SIGHUP)
-        await _line(process, b"kept as it was")
+        await log_line(process, b"kept as it was")
         for _ in range(2):  # the second time nothing is new
-            _config(tmp_path, **first | {"discovery": dials[1], "counter": counters[1].dial})
+            config_file(tmp_path, **first | {"discovery": dials[1], "counter": counters[1].dial})
             process.send_signal(signal.SIGHUP)
-            await _line(process, b"configuration read")
+            await log_line(process, b"configuration read")
             agents[1].put(
                 {
                     "seq": 3,
--- a/tests/test_standing_process.py
+++ b/tests/test_standing_process.py
@@ -5,11 +5,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
-import sys
 import time
-from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -18,8 +15,8 @@
 
 from rainturn.node import counter as counter_module
 from rainturn.node.__main__ import finish
-from rainturn.node.host_list import parse_address
 from rainturn.node.resp import pack
+from tests.program import descriptors, program
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
 SHORT = {"classes": [one | {"hard_limit_ms": 900} for one in WIRE["classes"]]}  # so that its end comes soon
@@ -120,39 +117,6 @@
     run(main())
 
 
-@contextlib.asynccontextmanager
-async def _program(folder: Path, **change: Any) -> AsyncIterator[tuple[Any, tuple[str, int]]]:
-    """The program as a process of its own, and its address for clients."""
-    source = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "counter": "127.0.0.1:1",
-        "seed": "2a",
-        "limits": {"memory_mb": 192, "sockets": 256},
-        "settings": WIRE,
-        "known": {"seq": 1, "whole": True, "hosts": []},
-    } | change
-    path = folder / "config.json"
-    path.write_text(json.dumps(source))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "rainturn.node",
-        stderr=asyncio.subprocess.PIPE,
-        env=os.environ | {"EDGE_CONFIG": str(path)},
-    )
-    try:
-        assert process.stderr is not None
-        while b"listening" not in (line := await soon(process.stderr.readline())):
-            assert line, "it ended"
-        yield process, parse_address(line.decode().split()[-1])
-    finally:
-        with contextlib.suppress(ProcessLookupError):
-            process.kill()
-        await process.wait()
-
-
 def test_a_process_that_is_killed_right_after_an_accept_is_replaced_at_its_address_at_once(
     tmp_path: Path,
 ) -> None:
@@ -164,7 +128,7 @@
             "counter": counter.dial,
             "known": {"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]},
         }
-        async with _program(tmp_path, **change) as (process, address):
+        async with program(tmp_path, **change) as (process, address):
             clients = [await Client.connect(address) for _ in range(20)]
             for n, client in enumerate(clients):
                 client.ask(b"%d" % n)
@@ -173,7 +137,7 @@
             for client in clients:
                 await _answers(client)
         listen = f"{address[0]}:{address[1]}"
-        async with _program(tmp_path, listen=listen, **change) as (process, again):
+        async with program(tmp_path, listen=listen, **change) as (process, again):
             assert again == address
             client = await Client.connect(again)
             client.send(b"PING")
@@ -197,20 +161,20 @@
             "known": known,
             "discovery": f"{agent.address[0]}:{agent.address[1]}",
         }
-        async with _program(tmp_path, **change) as (process, address):
+        async with program(tmp_path, **change) as (process, address):
             agent.put({"seq": 2, "whole": False, "hosts": []})
             while "index=2&" not in await soon(agent.calls.get()):
                 pass
             front = await Client.connect(address)
             front.send(b"PING")
             assert await front.answer() == b"PONG"
-            held = len(os.listdir(f"/proc/{process.pid}/fd"))
+            held = len(descriptors(process))
             for _ in range(3):
                 agent.put({"seq": 2, "whole": False, "hosts": []})
                 await soon(agent.calls.get())
                 front.send(b"PING")
                 assert await front.answer() == b"PONG"
-            assert len(os.listdir(f"/proc/{process.pid}/fd")) <= held + 1  # a watch on its way out
+            assert len(descriptors(process)) <= held + 1  # a watch on its way out
             assert host.connected.empty() and counter.connected.empty()
             process.send_signal(signal.SIGTERM)
             assert await soon(process.wait()) == 0
@@ -227,7 +191,7 @@
         old, new = [await Discovery().start() for _ in range(2)]
         dials = [f"{host}:{port}" for host, port in (old.address, new.address)]
         change = {"known": {"seq": 1, "whole": True, "hosts": hosts}, "discovery": dials[0]}
-        async with _program(tmp_path, **change) as (process, address):
+        async with program(tmp_path, **change) as (process, address):
             assert "index=1&" in await soon(old.calls.get())
             path = tmp_path / "config.json"
             path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": dials[1]}))
