--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,7 +15,8 @@
 import hiredis
 import uvloop
 
-from rainturn.node.__main__ import Parts, assemble, parse_config
+from rainturn.node.assembly import Parts, assemble
+from rainturn.node.configuration import parse_config
 from rainturn.node.resp import pack
 
 LONG = 10.0  # no test waits for this: it only ends one that hangs
--- a/tests/test_audit_system_calls.py
+++ b/tests/test_audit_system_calls.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from rainturn.node.__main__ import finish
+from rainturn.node.shutdown import finish
 from tests.program import no_more_descriptors, program
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -15,10 +15,10 @@
 
 import pytest
 
-from rainturn.node.__main__ import answer_by, finish
 from rainturn.node.clients import ACCEPT_BATCH
 from rainturn.node.host_list import parse_address
 from rainturn.node.resp import pack
+from rainturn.node.shutdown import answer_by, finish
 from rainturn.settings import settings_from
 from tests.program import config_file, log_line, started
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
--- a/tests/test_standing_process.py
+++ b/tests/test_standing_process.py
@@ -14,8 +14,8 @@
 import pytest
 
 from rainturn.node import counter as counter_module
-from rainturn.node.__main__ import finish
 from rainturn.node.resp import pack
+from rainturn.node.shutdown import finish
 from tests.program import descriptors, program
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
