System calls: wait out an accept, socket or connect that fails for a moment

Cause: (1) as the listener closes after SIGTERM, one accept that failed (EMFILE, ENFILE, ENOBUFS, ENOMEM) ended the accepting, and the close reset all that waited: connections, and requests on them, that the machine had accepted.

Change: system_errors.py names which failures are ours and pass by themselves; connect() tries again every 20 ms within the connect's time, and a shortage that lasts ends an attempt as not sent. A missing route is tried again too, and still counts against the host. accept tells a client that has gone from a shortage, tries again after 20 ms (100 ms before), and as the listener closes for 0.25 s more.

--- a/rainturn/node/clients.py
+++ b/rainturn/node/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import errno
 import logging
 import socket
@@ -13,18 +14,28 @@
 from rainturn.node.client_timeouts import ConnectionTimeouts
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
+from rainturn.node.system_errors import CLIENT_GONE, RETRY_S
 from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that the system holds until they are accepted
 ACCEPT_BATCH = 32  # connections accepted in one turn of the loop, so that many cannot hold up the others
-ACCEPT_RETRY_S = 0.1  # pause after an accept that failed for want of a descriptor
+ACCEPT_LAST_S = 0.25  # for how long those that wait as the listener closes are accepted if accept fails
 COMMANDS_SHARE = 0.25  # share of the memory limit for the commands of open requests
 DRAIN_DELAY_S = 0.6  # from out of service to the drain: clients' last new connections have come by then
 CLOSE_S = 0.2  # how long the last replies may take to leave when the gateway stops
 
 
+class Accept(enum.Enum):
+    """What came of accepting a connection."""
+
+    DONE = enum.auto()  # accepted, or it had gone; another may wait
+    NONE_WAITS = enum.auto()
+    NO_ROOM = enum.auto()
+    FAILED = enum.auto()  # for a shortage of this machine: others may wait
+
+
 class ClientListener:
     """The listener and the budget of client connections."""
 
@@ -37,6 +48,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.accepting = False
+        self.accept_failing = False  # since the last connection was accepted
         self.draining = False  # whether connections close once they are answered
         self.drain_timer: asyncio.TimerHandle | None = None
         self.all_closed: asyncio.Event | None = None
@@ -66,45 +78,51 @@
             self.accepting = False
             self.node.loop.remove_reader(self.listener)
 
-    def _accept_batch(self) -> bool:
-        """Accept some of the connections that wait; returns whether more may wait."""
-        return all(self._accept_one() for _ in range(ACCEPT_BATCH))
-
-    def _accept_one(self) -> bool:
-        """Accept a connection, in place of the least active one if the budget is used up.
-
-        Returns whether another one may wait that can be accepted.
-        """
+    def _accept_batch(self) -> Accept:
+        """Accept some of the connections that wait; returns what came of the last."""
+        last = Accept.DONE
+        for _ in range(ACCEPT_BATCH):
+            last = self._accept_one()
+            if last is not Accept.DONE:
+                break
+        return last
+
+    def _accept_one(self) -> Accept:
+        """Accept a connection, in place of the least active one if the budget is used up."""
         if self.listener is None:
-            return False
+            return Accept.NONE_WAITS
         full = len(self.connections) >= self.budget
         least_active = self.timeouts.least_active() if full else None
         if full and least_active is None:
             self._pause_accepting()  # until a client leaves or is idle
-            return False
+            return Accept.NO_ROOM
         try:
             sock, _ = self.listener.accept()
         except (BlockingIOError, InterruptedError):
-            return False
-        except ConnectionAbortedError:
-            return True  # that client has gone already; others may wait behind it
+            return Accept.NONE_WAITS
         except OSError as error:
+            if error.errno in CLIENT_GONE:
+                return Accept.DONE
             # Guards against EMFILE ending the accepting for good, or filling the loop with failures.
-            log.warning("accept: %s", errno.errorcode.get(error.errno or 0, "error"))
+            if not self.accept_failing:
+                log.warning("accept: %s", errno.errorcode.get(error.errno or 0, "error"))
+            self.accept_failing = True
             self._pause_accepting()
-            self.node.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
-            return False
+            self.node.loop.call_later(RETRY_S, self._resume_accepting)
+            return Accept.FAILED
+        self.accept_failing = False
         if least_active is not None:
             self._forget(least_active)
             least_active.abort()
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # the client may have gone: that shows as it is read
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = ClientConnection(self)
         self.connections.add(connection)
         task = self.node.loop.create_task(self._attach(connection, sock))
         self.tasks.add(task)  # the loop holds tasks only weakly
         task.add_done_callback(self.tasks.discard)
-        return True
+        return Accept.DONE
 
     async def _attach(self, connection: ClientConnection, sock: socket.socket) -> None:
         """Put an accepted socket under its connection object."""
@@ -162,16 +180,28 @@
         self.draining = draining
         self.timeouts.set_draining(draining)
 
-    def stop(self, accept_waiting: bool) -> None:
-        """Stop listening, and drain; what waits to be accepted is reset, or else accepted first."""
-        while accept_waiting and self._accept_batch():
-            pass
+    async def stop(self, accept_waiting: bool) -> None:
+        """Stop listening, and drain; what waits to be accepted is reset, or else accepted first.
+
+        Guards against connections that this machine has accepted being reset for one call that failed.
+        """
+        if accept_waiting:
+            await self._accept_all()
         self._pause_accepting()
         if self.listener is not None:
             self.listener.close()
             self.listener = None
         self.drain()
 
+    async def _accept_all(self) -> None:
+        """Accept all that wait, waiting out a shortage for a short time."""
+        end = self.node.loop.time() + ACCEPT_LAST_S
+        while (last := self._accept_batch()) in (Accept.DONE, Accept.FAILED):
+            if last is Accept.FAILED:
+                if self.node.loop.time() >= end:
+                    return
+                await asyncio.sleep(RETRY_S)
+
     async def wait_closed(self, limit_s: float) -> None:
         """Wait until all connections have closed, but no longer than the limit."""
         if self.connections:
--- a/rainturn/node/counter.py
+++ b/rainturn/node/counter.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections import deque
 
 from rainturn import interface as it
 from rainturn.node.gateway import Node
 from rainturn.node.resp import Outgoing, Spoilt, pack, total
+from rainturn.node.system_errors import connect
 
 log = logging.getLogger(__name__)
 
@@ -159,17 +161,14 @@
 
     async def _connect(self) -> None:
         loop, clock = self.node.loop, self.node.clock
+        limit_s = self.node.settings.limits.connect_timeout_ms / 1000
         try:
             while not self.stopped:
                 await asyncio.sleep(max(0.0, self.retry_at - clock.now()) / 1000)
-                try:
-                    address = self.address
-                    async with asyncio.timeout(self.node.settings.limits.connect_timeout_ms / 1000):
-                        _, connection = await loop.create_connection(
-                            lambda: CounterConnection(self), *address
-                        )
-                except OSError:  # a time-out is one
-                    connection = None
+                address = self.address
+                connection: CounterConnection | None = None
+                with contextlib.suppress(OSError):
+                    connection = await connect(loop, lambda: CounterConnection(self), address, limit_s)
                 if address != self.address:  # the counter moved while the connect was under way
                     if connection is not None:
                         connection.close()
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -11,6 +11,7 @@
 from rainturn.node.gateway import Node
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.requests import Attempt
+from rainturn.node.system_errors import OwnShortage, connect
 
 SETTLE_MS = 10.0  # idle time before a connection is used again: a host's second answer comes some ms late
 IDLE_LIMIT_PART = 0.7  # of the hosts' own idle limit: a request must not cross their close
@@ -125,13 +126,14 @@
     async def _connect(self) -> None:
         node = self.node
         connection: HostConnection | None = None
+        failure = it.Outcome.UNREACHABLE
         address = self.address  # as it is now: the list may move the host before the connect comes up
+        limit_s = node.settings.limits.connect_timeout_ms / 1000
         try:
-            async with asyncio.timeout(node.settings.limits.connect_timeout_ms / 1000):
-                _, connection = await node.loop.create_connection(
-                    lambda: HostConnection(self, address), *address
-                )
-        except (OSError, ValueError):  # a time-out is the first, a name that can be no host the second
+            connection = await connect(node.loop, lambda: HostConnection(self, address), address, limit_s)
+        except OwnShortage:
+            failure = it.Outcome.MOOT  # to call the host unreachable would make a well one suspect
+        except (OSError, ValueError):
             pass
         finally:
             self.connecting -= 1
@@ -141,7 +143,7 @@
         self._use_idle()
         if self.connecting < len(self.waiting):
             if not self.idle:
-                node.attempt_ended(self.waiting.popleft(), it.Outcome.UNREACHABLE)
+                node.attempt_ended(self.waiting.popleft(), failure)
             elif self.settle_timer is None:  # the host may accept no more, and an idle one is usable soon
                 self.settle_timer = node.loop.call_later(SETTLE_MS / 1000, self._on_settle_timer)
         self.forget_if_over()
--- a/rainturn/node/shutdown.py
+++ b/rainturn/node/shutdown.py
@@ -27,7 +27,7 @@
     node.feed(it.ShuttingDown())
     if not handed_on:
         await asyncio.sleep(min(ACCEPT_MORE_S, end - loop.time()))
-    parts.clients.stop(not handed_on)
+    await parts.clients.stop(not handed_on)
     parts.pools.close_idle()
     await parts.clients.wait_closed(end - loop.time())
     parts.clients.refuse_all()  # what waited behind the requests below is taken as they end
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -329,7 +329,7 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
-        self.parts.clients.stop(True)
+        await self.parts.clients.stop(True)
         self.parts.control.stop()
         for peer in [*self.hosts, self.counter]:
             peer.server.close()
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -148,7 +148,7 @@
                 sock.send(pack([b"PING"]))
                 waiting.append(sock)
             world.parts.clients.budget = len(waiting)
-            world.parts.clients.stop(True)
+            await world.parts.clients.stop(True)
             for sock in waiting:
                 client = Client(*await asyncio.open_connection(sock=sock))
                 assert await client.answer() == b"PONG"
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -380,7 +380,7 @@
             sock = socket.create_connection(world.address)
             sock.send(PING)
             world.parts.clients.listener = Ended()  # type: ignore[assignment]
-            world.parts.clients.stop(True)
+            await world.parts.clients.stop(True)
             client = Client(*await asyncio.open_connection(sock=sock))
             assert await client.answer() == b"PONG"
             await _close(world, client)
