Audit: failing tests of a start without buffers, half a command, and a slow reader's answers

A listen that fails for a moment, half a command behind an open request, and answers that a slow client has yet to read when its garbage has come.

--- a/tests/test_audit_clients.py
+++ b/tests/test_audit_clients.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+from typing import Any
 
-from tests.sockets import WIRE, Client, World, run
+import hiredis
+
+from rainturn.node.resp import pack
+from tests.sockets import WIRE, Client, World, run, served, soon
 
 SHORT_MS, LONG_MS = 700, 4000  # how long clients wait for requests that hang, and for those behind them
 SLACK_MS = 150.0  # of the time that an attempt tells its host
@@ -44,3 +50,54 @@
                     assert told_ms <= left_ms + SLACK_MS + LATE_MS / 2
 
     run(main())
+
+
+def test_half_a_command_behind_an_open_request_gets_its_error_within_3_s() -> None:
+    """Who stops in the middle of a request and stays; the request before it gets its answer, too."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        async with World(lambda words: None) as world:
+            client = await world.client()
+            client.ask(b"1", b"pay", body=b"x")
+            await soon(world.hosts[0].commands.get())
+            client.writer.write(pack([b"API.READ", b"00000000b4d65521"])[:20])
+            stopped_at = loop.time()
+            assert await client.answer() == "-ERR failed"
+            assert "in time" in str(await client.answer())
+            assert loop.time() - stopped_at < 3.0 + LATE_MS / 1000
+
+    run(main())
+
+
+def test_a_client_that_reads_slowly_gets_all_answers_before_its_error() -> None:
+    """Garbage behind many requests whose answers are long: what was taken is owed, whoever sent it."""
+
+    async def main() -> None:
+        value = b"v" * 60_000
+        async with World(lambda words: served(value)) as world:
+            loop, parser = asyncio.get_running_loop(), hiredis.Reader(notEnoughData=Ellipsis)
+            with socket.socket() as raw:
+                raw.setblocking(False)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                await loop.sock_connect(raw, world.address)
+                for number in range(30):
+                    fields = b"c=read,t=basic,d=5000,units=1,spread=1,first=0"
+                    await loop.sock_sendall(
+                        raw, pack([b"API.READ", b"00000000b4d65521", b"%d" % number, fields])
+                    )
+                await loop.sock_sendall(raw, b"garbage\r\n")
+                answers: list[Any] = []
+                while data := await soon(loop.sock_recv(raw, 8000)):
+                    parser.feed(data)
+                    with contextlib.suppress(
+                        OSError
+                    ):  # it never stops; the end of the other side may be near
+                        raw.send(b"x")
+                    while (answer := parser.gets()) is not ...:
+                        answers.append(answer)
+                    await asyncio.sleep(0.01)  # 2 s and more for 1.8 MB
+            assert answers[:30] == [value] * 30
+            assert "expected" in str(answers[30])
+
+    run(main())
--- a/tests/test_audit_system_calls.py
+++ b/tests/test_audit_system_calls.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from rainturn.node.shutdown import finish
-from tests.program import no_more_descriptors, program
+from tests.program import config_file, log_line, no_more_descriptors, program, started
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, World, entry, run, served, soon
 
 FOR_A_MOMENT_S = 0.1
@@ -103,3 +103,29 @@
             agent.server.close()
 
     run(main())
+
+
+def test_a_start_waits_out_a_listen_that_fails_for_a_moment(
+    tmp_path: Path,
+) -> None:
+    """The process runs with a `socket.create_server` that has no buffers at first."""
+
+    async def main() -> None:
+        site = tmp_path / "sitecustomize.py"
+        site.write_text(
+            "import errno, socket\n"
+            "real, left = socket.create_server, [3]\n"
+            "def create_server(*args, **options):\n"
+            "    left[0] -= 1\n"
+            "    if left[0] >= 0:\n"
+            "        raise OSError(errno.ENOBUFS, 'No buffer space available')\n"
+            "    return real(*args, **options)\n"
+            "socket.create_server = create_server\n"
+        )
+        control = "127.0.0.1:0"
+        process, _ = await started(config_file(tmp_path, control=control), PYTHONPATH=str(tmp_path))
+        process.send_signal(signal.SIGTERM)
+        await log_line(process, b"stopped")
+        assert await soon(process.wait()) == 0
+
+    run(main())
