--- a/tests/test_audit_clients.py
+++ b/tests/test_audit_clients.py
@@ -70,32 +70,69 @@
     run(main())
 
 
+class SlowReader:
+    """A client that asks much at once and reads little at a time."""
+
+    def __init__(self, raw: socket.socket) -> None:
+        self.raw, self.answers = raw, list[Any]()
+        self.parser = hiredis.Reader(notEnoughData=Ellipsis)
+        raw.setblocking(False)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+
+    async def ask(self, address: tuple[str, int], count: int) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.raw, address)
+        for number in range(count):
+            fields = b"c=read,t=basic,d=5000,units=1,spread=1,first=0"
+            command = pack([b"API.READ", b"00000000b4d65521", b"%d" % number, fields])
+            await loop.sock_sendall(self.raw, command)
+
+    async def read(self, pause_s: float, sends: bytes = b"") -> None:
+        """Read to the end of the connection; `sends` goes out with every piece that is read."""
+        loop = asyncio.get_running_loop()
+        while data := await soon(loop.sock_recv(self.raw, 8000)):
+            self.parser.feed(data)
+            with contextlib.suppress(OSError):
+                self.raw.send(sends)
+            while (answer := self.parser.gets()) is not ...:
+                self.answers.append(answer)
+            await asyncio.sleep(pause_s)
+
+
 def test_a_client_that_reads_slowly_gets_all_answers_before_its_error() -> None:
     """Garbage behind many requests whose answers are long: what was taken is owed, whoever sent it."""
 
     async def main() -> None:
         value = b"v" * 60_000
         async with World(lambda words: served(value)) as world:
-            loop, parser = asyncio.get_running_loop(), hiredis.Reader(notEnoughData=Ellipsis)
             with socket.socket() as raw:
-                raw.setblocking(False)
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-                await loop.sock_connect(raw, world.address)
-                for number in range(30):
-                    fields = b"c=read,t=basic,d=5000,units=1,spread=1,first=0"
-                    await loop.sock_sendall(
-                        raw, pack([b"API.READ", b"00000000b4d65521", b"%d" % number, fields])
-                    )
-                await loop.sock_sendall(raw, b"garbage\r\n")
-                answers: list[Any] = []
-                while data := await soon(loop.sock_recv(raw, 8000)):
-                    parser.feed(data)
-                    with contextlib.suppress(OSError):  # it never stops, whatever the other side does
-                        raw.send(b"x")
-                    while (answer := parser.gets()) is not ...:
-                        answers.append(answer)
-                    await asyncio.sleep(0.01)  # 2 s and more for 1.8 MB
-            assert answers[:30] == [value] * 30
-            assert "expected" in str(answers[30])
+                client = SlowReader(raw)
+                await client.ask(world.address, 30)
+                raw.send(b"garbage\r\n")
+                await client.read(0.01, sends=b"x")  # 2 s and more for 1.8 MB; it never stops sending
+            assert client.answers[:30] == [value] * 30
+            assert "expected" in str(client.answers[30])
+
+    run(main())
+
+
+def test_a_request_that_crosses_the_close_takes_no_answer_with_it() -> None:
+    """The close over unread bytes is a reset, which drops all that has not left the system yet."""
+
+    async def main() -> None:
+        value = b"v" * 60_000
+        async with World(lambda words: served(value)) as world:
+            with socket.socket() as raw:
+                client = SlowReader(raw)
+                await client.ask(world.address, 30)
+                while len(world.parts.clients.timeouts.idle) < 1:
+                    await asyncio.sleep(0.01)  # all 30 are answered, and wait in the system's buffers
+                world.parts.clients.drain()
+                await asyncio.sleep(0.05)
+                with contextlib.suppress(OSError):
+                    raw.send(pack([b"PING"]))
+                with contextlib.suppress(ConnectionError):
+                    await client.read(0.002)
+            assert client.answers == [value] * 30
 
     run(main())
