Clients: close a connection at rest only when its client has all answers

Cause: a drain, a shutdown, the limit on rest and a shortage of descriptors closed a connection as soon as its last answer was written. What its client's machine had not taken yet was in the system's buffers; a command that crossed the close made it a reset, and the system dropped them all.

Change: where bytes are still on their way the gateway ends its sending, reads no more, and closes when the client has taken them or takes no more; such a connection does not give way to a new one either.

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -57,6 +57,7 @@
         self.error_count = 0
         self.proven = False  # whether it has sent a command that can be served
         self.reading_paused = False
+        self.reading_ended = False  # whether it is closed as soon as the client has its answers
         self.parsing = False  # guards against parsing again from within a command
         self.parse_handle: asyncio.Handle | None = None  # set while more commands wait for the next turn
         self.liveness_timer: asyncio.TimerHandle | None = None  # set while reading is paused
@@ -185,7 +186,7 @@
         Guards against a client that never reads filling the memory: all it can leave with us is what
         is open when its replies stop going out.
         """
-        pause = not self.closing and (self.writing_paused or self._has_enough())
+        pause = self.reading_ended or (not self.closing and (self.writing_paused or self._has_enough()))
         if pause != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = pause
             self._cancel_liveness_timer()
@@ -286,7 +287,7 @@
         before sockets are read. After the next read a proven client is idle anew; another has to be proven.
         """
         if not self.has_unread_input():
-            self.abort()
+            self._end()
         elif not self.proven:
             self.node.loop.call_later(0, self._abort_if_unproven)
 
@@ -339,10 +340,7 @@
             return  # the rest of a command that is answered already
         if self.closing:
             # Guards against a reset that would overtake the last answer: the client ends its side first.
-            self.transport.write_eof()
-            self.unsent_bytes = sys.maxsize
-            self.timeouts.idle.pop(self, None)
-            self.timeouts.enter(self.timeouts.lingering, self)
+            self._end_sending()
         elif self.buffer:
             return  # a command has begun to come, or is parsed next
         elif self.owner.draining:
@@ -368,10 +366,33 @@
 
     def close_if_idle(self) -> None:
         """Close between requests; one that has begun to come, read or not, is served first."""
-        if self.pending or self.buffer or self.body is not None or self.transport.is_closing():
+        if self.pending or self.buffer or self.body is not None:
             return
-        if not self.has_unread_input():
-            self.transport.close()
+        if not (self.closing or self.transport.is_closing() or self.has_unread_input()):
+            self._end()
+
+    def _end(self) -> None:
+        """Close between requests: at once if the client's machine has all answers, else when it has them.
+
+        Guards against bytes of the client that cross the close: they turn it into a reset, which drops what
+        has not left this machine yet.
+        """
+        if not unsent(self.transport):
+            return self.transport.close()
+        self.closing = self.reading_ended = True
+        self._update_reading()
+        self._end_sending()
+
+    def _end_sending(self) -> None:
+        """Say that no more will come; the client has some time to read what has."""
+        self.transport.write_eof()
+        self.unsent_bytes = sys.maxsize
+        self.timeouts.idle.pop(self, None)
+        self.timeouts.enter(self.timeouts.lingering, self)
+
+    def can_give_way(self) -> bool:
+        """Whether a connection without open requests may be closed at once: nothing is on its way on it."""
+        return not (self.has_unread_input() or unsent(self.transport))
 
     def has_unread_input(self) -> bool:
         """Whether bytes of the client, or its end, lie in the system and the loop has yet to read them."""
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -21,8 +21,8 @@
 class TimedConnection(Protocol):
     """What the sweep does with a connection whose time in a state is over."""
 
-    def has_unread_input(self) -> bool:
-        """Whether bytes have come that are not read yet."""
+    def can_give_way(self) -> bool:
+        """Whether it may be closed at once: nothing has come that is not read, nothing waits to leave."""
 
     def abort(self) -> None:
         """Close at once."""
@@ -99,11 +99,11 @@
 
         Guards against connections that are opened and left silent pushing out clients that are served: one
         that has been told to go comes first, then one that never proved itself, then the one idle longest.
-        One whose next command has come, read or not, is left alone.
+        One whose next command has come, read or not, or whose answers have not left, is left alone.
         """
         if self.lingering:
             return next(iter(self.lingering))
-        silent = (c for c in chain(self.unproven, self.idle) if not c.has_unread_input())
+        silent = (c for c in chain(self.unproven, self.idle) if c.can_give_way())
         return next(silent, None)
 
     def start(self) -> None:
