--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -18,7 +18,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node.handover import NOTE, STATE, Handover, inherited
+from rainturn.node.handover import BEAT_S, NOTE, STATE, Handover, inherited
 from rainturn.state import StateMismatch, restore_state, save_state
 from tests.helpers import PLAN, Drive, of, settings
 from tests.sockets import WIRE, Client, Discovery, Peer, Totals, control, entry, run, served, soon
@@ -46,8 +46,15 @@
 class Gateway:
     """A process on the listener that the test holds."""
 
-    def __init__(self, folder: Path, listener: socket.socket, **change: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        listener: socket.socket,
+        environment: dict[str, str] | None = None,
+        **change: Any,
+    ) -> None:
         self.folder, self.listener, self.change = folder, listener, change
+        self.environment = environment or {}
         text = _free_address()
         self.control = ("127.0.0.1", int(text.rpartition(":")[2]))
 
@@ -75,7 +82,9 @@
             "rainturn.node",
             stderr=asyncio.subprocess.PIPE,
             pass_fds=[fd],
-            env=os.environ | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)},
+            env=os.environ
+            | {"EDGE_CONFIG": str(path), "EDGE_LISTEN_FD": str(fd), "TMPDIR": str(run_in)}
+            | self.environment,
         )
         STARTED.append(self.process)
         self.lines: list[bytes] = []
@@ -286,3 +295,56 @@
     customer = drive.gate.customers[1]
     customer.unreported = 3.0
     assert [call.amount for call in of(drive.feed(it.ShuttingDown()), it.Count)] == [3.0]
+
+
+CLOCK = """
+import os, time
+real, real_ns = time.time, time.time_ns
+def offset():
+    with open(os.environ["CLOCK_OFFSET_FILE"]) as file:
+        return float(file.read())
+time.time = lambda: real() + offset()
+time.time_ns = lambda: real_ns() + int(offset() * 1e9)
+"""
+
+
+def test_two_processes_agree_on_windows_though_the_wall_clock_was_stepped(tmp_path: Path) -> None:
+    """The clock is set forward by an hour between their starts, and back by two while both run."""
+
+    async def main() -> None:
+        host, counter = await Peer(lambda words: served()).start(), await Peer(Totals()).start()
+        (tmp_path / "sitecustomize.py").write_text(CLOCK)
+        (tmp_path / "offset").write_text("0")
+        clock = {"PYTHONPATH": str(tmp_path), "CLOCK_OFFSET_FILE": str(tmp_path / "offset")}
+        change: dict[str, Any] = {
+            "counter": counter.dial,
+            "known": {"seq": 1, "whole": True, "hosts": [entry("h", host.dial)]},
+            "discovery": "127.0.0.1:1",
+        }
+
+        async def window(gateway: Gateway) -> int:
+            """The window that a process counts a new request in."""
+            while not counter.commands.empty():
+                counter.commands.get_nowait()  # of the one before
+            client = await Client.connect(gateway.listener.getsockname())
+            client.ask(b"1")
+            assert await client.answer() == b"value"
+            client.writer.close()
+            return int((await soon(counter.commands.get()))[1]) % (1 << 30)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            old = await Gateway(tmp_path, listener, environment=clock, **change).start()
+            first = await window(old)
+            (tmp_path / "offset").write_text("3600")
+            new = await Gateway(tmp_path, listener, environment=clock, **change).start()
+            assert any(b"carried on" in line for line in new.lines)
+            (tmp_path / "offset").write_text("-3600")
+            await asyncio.sleep(2 * BEAT_S)
+            old.process.send_signal(signal.SIGTERM)
+            assert await soon(old.process.wait()) == 0
+            assert abs(await window(new) - first) < 100  # of 3 s each
+            await new.end()
+        for server in (host.server, counter.server):
+            server.close()
+
+    run(main())
