Counter: write amounts as plain decimals, and read every decimal total

Cause: an amount went out as %.9g, so what rounding leaves of decimal units went out as 5.55111512e-17, and nothing kept it within the protocol's 1e9; an `-ERR` to it counts as a crowded counter.

Change: amounts have six decimals at most and no exponent, and are cut off at 1e9; totals are read with a sign, without a digit before or behind the point, and with up to 40 digits.

--- a/rainturn/node/counter.py
+++ b/rainturn/node/counter.py
@@ -18,6 +18,8 @@
 SILENT_TIMEOUTS = 4.0  # one that owes answers and got no byte for so many time-outs is replaced
 MAX_CONNECTIONS = 4  # more than one: a malformed answer or a break ends all calls on the same connection
 MAX_TTL_MS = 60_000  # longest life of a count that the protocol knows
+MAX_AMOUNT = 1e9  # largest amount of a call that the protocol knows
+AMOUNT_DIGITS = 6  # decimals: seven digits of a total are exact
 RECONNECT_MS = 100.0  # pause after a connect that failed
 RETIRE_S = (
     2.0  # how long a counter that has moved may take for its last answers; its old address closes sooner
@@ -34,6 +36,12 @@
         self.ended = False
 
 
+def encode_amount(amount: float) -> bytes:
+    """A decimal number without an exponent, within the protocol's limit."""
+    text = f"{max(-MAX_AMOUNT, min(MAX_AMOUNT, amount)):.{AMOUNT_DIGITS}f}".rstrip("0").rstrip(".")
+    return b"0" if text == "-0" else text.encode()
+
+
 class CounterConnection(Outgoing):
     """A connection, with the calls sent on it that have no answer yet, also those that have timed out."""
 
@@ -138,7 +146,7 @@
         """Begin a call: add `amount` to the count `name`, which lives for `ttl` ms if it is new."""
         now = self.node.clock.now()
         ttl_ms = max(1, min(MAX_TTL_MS, round(ttl)))
-        call = CounterCall(name, pack((b"ADDGET", b"%d" % name, b"%.9g" % amount, b"%d" % ttl_ms)), now)
+        call = CounterCall(name, pack((b"ADDGET", b"%d" % name, encode_amount(amount), b"%d" % ttl_ms)), now)
         self.by_age.append(call)
         if self.timeout_timer is None:
             self.timeout_timer = self.node.loop.call_later(self.timeout_ms / 1000, self._time_out)
--- a/rainturn/node/resp.py
+++ b/rainturn/node/resp.py
@@ -34,7 +34,7 @@
 _ERROR_PART = re.compile(rb"-[ -~]{0,%d}\r?" % MAX_ERROR)
 _FIELD = re.compile(rb"[$*]-1\r\n|:-?[0-9]{1,18}\r\n")
 _FIELD_PART = re.compile(rb"(?:[$*](?:-(?:1\r?)?)?|:-?[0-9]{0,18}\r?)?")
-_NUMBER = re.compile(rb"-?[0-9]{1,15}(?:\.[0-9]{1,15})?(?:[eE][+-]?[0-9]{1,2})?")
+_NUMBER = re.compile(rb"[+-]?(?:[0-9]{1,40}(?:\.[0-9]{0,40})?|\.[0-9]{1,40})(?:[eE][+-]?[0-9]{1,2})?")
 NULLS = b"$-1\r\n$-1\r\n"
 
 
