--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import signal
@@ -18,6 +19,7 @@
 import pytest
 
 from rainturn import interface as it
+from rainturn.node import handover
 from rainturn.node.handover import BEAT_S, NOTE, STATE, Handover, inherited
 from rainturn.state import StateMismatch, restore_state, save_state
 from tests.helpers import PLAN, Drive, of, settings
@@ -348,3 +350,49 @@
             server.close()
 
     run(main())
+
+
+def test_a_process_that_cannot_write_for_a_while_has_not_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The folder is full, or its disk fails: the other one must not take the room of one that serves."""
+
+    async def main() -> None:
+        told: list[tuple[str, int | None]] = []
+        others = [
+            await asyncio.create_subprocess_exec(sys.executable, "-c", "input()", stdin=-1) for _ in "ab"
+        ]
+        STARTED.extend(others)
+        sides = {
+            name: Handover(tmp_path, dict, lambda held, older, name=name: told.append((name, held)))  # type: ignore[misc]
+            for name in ("old", "new")
+        }
+        old, new = sides["old"], sides["new"]
+        for side, process in zip((old, new), others, strict=True):
+            side.name = f"{process.pid}-1"  # two processes of this machine
+        await old.begin()
+        old.start()
+        assert await new.begin() == {}
+        new.start()
+        monkeypatch.setattr(handover, "STALE_S", 0.3)
+        write_text = Path.write_text
+
+        def fail(path: Path, text: str) -> int:
+            write_text(path, text[: len(text) // 2])  # half of it is left
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(Path, "write_text", fail)
+        await asyncio.sleep(0.3 + 3 * BEAT_S)
+        monkeypatch.setattr(Path, "write_text", write_text)
+        await asyncio.sleep(3 * BEAT_S)
+        assert ("new", None) not in told and ("old", None) not in told
+        assert sorted(path.name for path in tmp_path.iterdir()) == sorted([STATE, NOTE])
+        others[0].kill()  # without a word
+        await others[0].wait()
+        assert old.task is not None
+        old.task.cancel()
+        while ("new", None) not in told:
+            await asyncio.sleep(0.01)
+        new.over()
+
+    run(main())
