Handover: one clock for both processes, and no end without a sign of it

Cause: (1) ages of the files between two processes were by the wall clock: stepped by 2 s or more, each took the other for ended and used its room for descriptors beside it.

Change: files carry the monotonic clock, which a machine's processes share. The state names the predecessor's clock, and the successor asks for it before it is put together. A process has ended if it says so, or if its file is old and no process of its number runs. A draft that failed is removed. At the very end signals are blocked, so that one more does not change how the process ends.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -18,7 +18,7 @@
 from rainturn.node.handover import Handover, inherited
 from rainturn.node.reload import Reload
 from rainturn.node.shutdown import finish
-from rainturn.node.succession import carried, carry_on
+from rainturn.node.succession import carried, carried_clock, carry_on
 from rainturn.node.system_errors import listening_socket
 
 log = logging.getLogger("rainturn.node")
@@ -32,20 +32,21 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
     )
-    parts = assemble(config, descriptors, loop)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     listener, handover = inherited(os.environ), None
-    if listener is None:
-        own_listener = await listening_socket(config.listen, clients.BACKLOG)
-        address = parts.clients.accept_from(own_listener)
     if listener is not None and (folder := os.environ.get("TMPDIR")):
         handover = Handover(
             Path(folder), lambda: carried(parts), lambda held, older: share_room(parts, held, older)
         )
-        if (state := await handover.begin()) is not None:
-            carry_on(parts, state)
+    state = await handover.begin() if handover is not None else None
+    parts = assemble(config, descriptors, loop, carried_clock(state))
+    if state is not None:
+        carry_on(parts, state)
+    if listener is None:
+        own_listener = await listening_socket(config.listen, clients.BACKLOG)
+        address = parts.clients.accept_from(own_listener)
     if config.control is not None:  # not earlier: a successor must not say yes to what it has yet to learn
         control_listener = await listening_socket(config.control, control.BACKLOG)
         log.info("control: listening on %s:%d", *parts.control.accept_from(control_listener))
@@ -68,6 +69,8 @@
     parts.control.stop()
     await parts.discovery.stop()
     log.info("%s: stopped", config.name)
+    # Guards against a signal, as the loop lets go of its handlers, changing how the process ends.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 
 def main() -> int:
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -98,9 +98,11 @@
     }
 
 
-def assemble(config: Config, descriptors: int, loop: asyncio.AbstractEventLoop) -> Parts:
+def assemble(
+    config: Config, descriptors: int, loop: asyncio.AbstractEventLoop, clock: Clock | None = None
+) -> Parts:
     """Put a gateway together, with the hosts that it last knew."""
-    node = Node(config.settings, config.seed, Clock(), loop)
+    node = Node(config.settings, config.seed, clock or Clock(), loop)
     budget = max(8, descriptors - RESERVE - (CONNECTIONS if config.control else 0))
     pools = node.hosts = HostPools(node, config.idle_ms, int(budget * HOSTS_PART))
     counter = node.counter = Counter(node, config.counter) if config.counter else NoCounter()
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -22,10 +22,13 @@
 
 
 class Clock:
-    """Unix milliseconds at the start plus monotonic time since: all gateways agree, and it never jumps."""
+    """Unix milliseconds at the start plus monotonic time since: it never jumps.
 
-    def __init__(self) -> None:
-        self.base = time.time() * 1000.0 - time.monotonic() * 1000.0
+    `base` is what another process of this machine has, for which the wall clock may have said something else.
+    """
+
+    def __init__(self, base: float | None = None) -> None:
+        self.base = time.time() * 1000.0 - time.monotonic() * 1000.0 if base is None else base
 
     def now(self) -> float:
         """Milliseconds of Unix time."""
--- a/rainturn/node/handover.py
+++ b/rainturn/node/handover.py
@@ -25,6 +25,7 @@
 FIRST_S = 0.8  # how long a new process waits for the old one's state
 STALE_S = 2.0  # a file older than this is of a process that ended without a word
 LOOK_S = 0.02  # pause between looks for the first state
+ENDED_STATES = "ZX"  # of a process that has ended and is not forgotten yet
 
 
 def inherited(environment: Mapping[str, str]) -> socket.socket | None:
@@ -47,14 +48,16 @@
     """One process's side of it.
 
     `twin` is told how many descriptors another process beside this one holds, or None when it has ended, and
-    whether ours is the older.
+    whether ours is the older; not before `start`. Ages of files are by the monotonic clock, which all
+    processes of a machine share.
     """
 
     def __init__(
         self, folder: Path, state: Callable[[], dict[str, Any]], twin: Callable[[int | None, bool], None]
     ) -> None:
         self.folder, self.state, self.twin = folder, state, twin
-        self.name = f"{os.getpid()}-{time.time_ns()}"
+        self.name = f"{os.getpid()}-{time.monotonic_ns()}"
+        self.predecessor_holds = 0  # descriptors
         self.predecessor: str | None = None  # while it lives
         self.successor: str | None = None
         self.task: asyncio.Task[None] | None = None
@@ -70,7 +73,7 @@
             found = self._read(STATE)
             if found is not None and found.get("for") == self.name and self._fresh(found):
                 self.predecessor = str(found["by"])
-                self._tell(found)
+                self.predecessor_holds = _descriptors_of(found)
                 state = found.get("state")
                 return state if isinstance(state, dict) else None
             await asyncio.sleep(LOOK_S)
@@ -81,6 +84,8 @@
         """Serve: be there for a successor, and watch the predecessor's end."""
         if self.predecessor is None:
             self._write(STATE, {})
+        else:
+            self.twin(self.predecessor_holds, False)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
@@ -97,14 +102,9 @@
 
     def _watch_predecessor(self) -> None:
         found = self._read(STATE)
-        if (
-            found is not None
-            and found.get("by") == self.predecessor
-            and not found.get("over")
-            and self._fresh(found)
-        ):
+        if found is not None and found.get("by") == self.predecessor and not self._has_ended(found):
             self._write(NOTE, {})
-            return self._tell(found)
+            return self.twin(_descriptors_of(found), False)
         log.info("handover: %s has ended", self.predecessor)
         self.predecessor = None
         with contextlib.suppress(OSError):
@@ -114,7 +114,7 @@
 
     def _watch_successor(self) -> None:
         found = self._read(NOTE)
-        if found is not None and found.get("by") != self.name and self._fresh(found):
+        if found is not None and found.get("by") != self.name and not self._has_ended(found):
             if self.successor is None:
                 log.info("handover: to %s", found["by"])
                 self.twin(0, True)
@@ -131,13 +131,16 @@
             self.task.cancel()
         self._write(STATE, {"for": self.successor, "over": True})
 
-    def _tell(self, found: dict[str, Any]) -> None:
-        held = found.get("descriptors")
-        self.twin(held if isinstance(held, int) else 0, False)
+    def _has_ended(self, found: dict[str, Any]) -> bool:
+        """Whether the writer of a file has ended: it says so, or has written nothing for long and is no more.
+
+        Guards against a folder that can't be written for a while being taken for the end of a process.
+        """
+        return bool(found.get("over")) or not (self._fresh(found) or _is_alive(str(found["by"])))
 
     def _fresh(self, found: dict[str, Any]) -> bool:
         at = found.get("at")
-        return isinstance(at, int | float) and abs(time.time() - at) < STALE_S
+        return isinstance(at, int | float) and abs(time.monotonic() - at) < STALE_S
 
     def _read(self, name: str) -> dict[str, Any] | None:
         try:
@@ -149,12 +152,32 @@
     def _write(self, name: str, content: dict[str, Any]) -> None:
         """Replace a file as a whole: a reader never sees half of it."""
         draft = self.folder / f"{name}.{self.name}"
-        body = json.dumps({"by": self.name, "at": time.time(), "descriptors": descriptors()} | content)
+        head = {"by": self.name, "at": time.monotonic(), "descriptors": descriptors()}
         try:
-            draft.write_text(body)
+            draft.write_text(json.dumps(head | content))
             draft.replace(self.folder / name)
         except OSError as error:
             log.warning("handover: %s", error.strerror)
+            with contextlib.suppress(OSError):
+                draft.unlink()
+
+
+def _descriptors_of(found: dict[str, Any]) -> int:
+    """How many descriptors the writer of a file held."""
+    held = found.get("descriptors")
+    return held if isinstance(held, int) else 0
+
+
+def _is_alive(name: str) -> bool:
+    """Whether the process of that name, which begins with its number, is seen to run beside this one."""
+    number = name.partition("-")[0]
+    if not number.isdigit() or int(number) == os.getpid():
+        return False  # of another namespace, if it is not ours
+    try:
+        status = Path("/proc", number, "stat").read_text()
+    except OSError:
+        return False
+    return status.rpartition(")")[2].split()[0] not in ENDED_STATES
 
 
 def descriptors() -> int:
--- a/rainturn/node/succession.py
+++ b/rainturn/node/succession.py
@@ -3,17 +3,28 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import Any
 
 from rainturn.node.assembly import Parts
+from rainturn.node.gateway import Clock
 from rainturn.state import restore_state, save_state
 
 log = logging.getLogger(__name__)
 
 
+CLOCK_BASE = "clock_base"
+
+
+def carried_clock(state: dict[str, Any] | None) -> Clock:
+    """The clock of the process before: all times of its state, and the windows of its counts, are by that."""
+    base = (state or {}).get(CLOCK_BASE)
+    return Clock(base if isinstance(base, float) and math.isfinite(base) else None)
+
+
 def carried(parts: Parts) -> dict[str, Any]:
     """What the module passes on, its hosts by their names: their numbers differ from process to process."""
-    state = dict[str, Any](save_state(parts.node.module))
+    state = dict[str, Any](save_state(parts.node.module)) | {CLOCK_BASE: parts.node.clock.base}
     pools = parts.pools.pools
     state["hosts"] = {
         pools[int(number)].name: values for number, values in state["hosts"].items() if int(number) in pools
