--- a/tests/test_audit_counter.py
+++ b/tests/test_audit_counter.py
@@ -4,7 +4,9 @@
 
 import re
 
+from rainturn import interface as it
 from rainturn.node.resp import total
+from tests.helpers import PLAN, Drive, of, settings
 from tests.sockets import World, run, soon
 
 READABLE = {
@@ -40,3 +42,37 @@
                 assert abs(float(command[2]) - max(-1e9, min(1e9, amount))) < 1e-6
 
     run(main())
+
+
+def test_the_plan_that_a_request_names_counts() -> None:
+    """Whatever an earlier request of the same number said, as a mistaken or malicious one may."""
+    small, large = it.Plan(price=1, rate=2, burst=8), it.Plan(price=1, rate=1000, burst=1000)
+    for counter in (False, True):
+        for first, then in ((0, 1), (1, 0)):
+            drive = Drive(settings(plans=(small, large), counter=counter))
+            totals: dict[int, float] = {}
+
+            def arrive(plan: int, drive: Drive = drive, totals: dict[int, float] = totals) -> int:
+                actions = drive.arrive(plan=plan, spread=1.0)[1]
+                sent = len(of(actions, it.Send))
+                calls = of(actions, it.Count)
+                while calls:
+                    call = calls.pop(0)
+                    totals[call.name] = totals.get(call.name, 0.0) + call.amount
+                    actions = drive.count(call, totals[call.name])
+                    sent += len(of(actions, it.Send))
+                    calls += of(actions, it.Count)
+                return sent
+
+            arrive(first)
+            sent = sum(arrive(then) for _ in range(60))
+            assert sent <= 9 if then == 0 else sent == 60, (counter, first, sent)
+
+
+def test_requests_that_wait_are_decided_when_another_plan_is_named() -> None:
+    drive = Drive(settings(plans=(PLAN, it.Plan(price=1, rate=1000, burst=1000))))
+    waiting, actions = drive.arrive(plan=0)
+    assert of(actions, it.Count)
+    _, actions = drive.arrive(plan=1)
+    decided = of(actions, it.Send) + of(actions, it.Refuse)
+    assert waiting in {action.request for action in decided}
