Quota: the plan that a request names counts, not that of an earlier one

Cause: a customer's record kept the plan of the first request that this gateway saw under its number, until it had been idle for long.

Change: a request with another plan begins a new record; what waits for a total under the old one is decided by its store at once, and what is out ends as before.

--- a/rainturn/decisions/metering.py
+++ b/rainturn/decisions/metering.py
@@ -32,18 +32,32 @@
 
     def customer(self, now: float, event: it.Arrived) -> Customer:
         """The request's customer. Without a total a new one gets its plan's share, less for overruns."""
-        customer = self.customers.get(event.customer)
-        if customer is None:
-            plan = self.settings.plans[event.plan]
+        customer, plan = self.customers.get(event.customer), self.settings.plans[event.plan]
+        if customer is None or customer.plan is not plan:
+            former = customer
             customer = quota.new_customer(event.customer, plan, event.spread, now, self.started or now)
             cost = plan.over_cost / (1 + plan.over_cost)
             customer.pass_share = max(0.0, self.pass_shares[event.plan].share - cost) / (1 - cost)
             customer.pass_credit = self.rng.random()
             self.customers[event.customer] = customer
+            if former is not None:
+                self._decide_without_total(now, former)
         customer.last_request_at = now
         quota.advance(customer, now)
         return customer
 
+    def _decide_without_total(self, now: float, former: Customer) -> None:
+        """Decide what waits for a total of a customer that came with another plan before.
+
+        Guards against one request with a wrong plan making that the customer's own: the one that a request
+        names counts. An answer to a call that is out is not taken any more, so what waits goes by the store.
+        """
+        waiting, former.waiting = former.waiting, []
+        for request in waiting:
+            self._decide(now, request, former, ok=False, counted=False)
+        former.slots = max(former.slots, former.fallback_slots)
+        self.slots.serve(now, former)
+
     def weight(self, customer: Customer, plan: int) -> float:
         """The chance that the customer's quota lets a request of it through."""
         share = customer.pass_share if customer.window >= 0 else self.pass_shares[plan].share
