--- a/tests/test_audit_repeats.py
+++ b/tests/test_audit_repeats.py
@@ -7,7 +7,7 @@
 
 from rainturn import interface as it
 from tests.helpers import KEYED, SAFE, Drive, of, settings
-from tests.sockets import WIRE, Peer, World, run
+from tests.sockets import WIRE, Peer, World, run, served
 
 HELD_UP_MS = 150.0  # a gateway may be held up for so long between reading its clock and writing
 
@@ -40,3 +40,25 @@
         again = of(drive.end(send, it.Outcome.RESET, elapsed=age), it.Send)
         assert len(again) == repeats
         assert all(age + one.within <= keyed.window_ms - HELD_UP_MS for one in again)
+
+
+def test_a_refusal_that_waits_for_its_turn_beyond_the_window_is_an_error() -> None:
+    """It was harmless when it was decided; the client hears it only behind the answer before it."""
+
+    async def main() -> None:
+        classes = [one | {"window_ms": 600, "group": "all"} for one in WIRE["classes"]]
+
+        async def handler(words: list[bytes]) -> bytes:
+            if words[2] == b"slow":
+                await asyncio.sleep(0.9)
+                return served()
+            return b"-ERR failed\r\n"
+
+        async with World(handler, handler, wire={"classes": classes}) as world:
+            client = await world.client()
+            client.ask(b"slow")
+            client.ask(b"1", b"send", extra=b"k=77,", body=b"x")
+            assert await client.answer() == b"value"
+            assert await client.answer() == "-ERR failed"
+
+    run(main())
