--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -187,17 +187,17 @@
 
     def _give_up(self, now: float, request: PendingRequest) -> None:
         """End a request: a refusal only where a new try is proved harmless (rule 2)."""
-        harmless = self._is_harmless_again(now, request)
+        until = self._harmless_until(request)
         self._close(now, request)
-        self.actions.append(it.Refuse(request.id) if harmless else it.Fail(request.id))
+        self.actions.append(it.Refuse(request.id, 0.0, until) if now < until else it.Fail(request.id))
 
-    def _is_harmless_again(self, now: float, request: PendingRequest) -> bool:
-        """Whether a new try has no further effect: nothing ran, or each host still drops it as a repeat."""
+    def _harmless_until(self, request: PendingRequest) -> float:
+        """Until when a new try has no further effect: nothing ran, or hosts still drop it as a repeat."""
         klass, anchor = request.request_class, request.anchor()
         if anchor is None or klass.effect is it.Effect.SAFE:
-            return True
+            return math.inf
         dropped_anywhere = klass.effect is it.Effect.KEYED and klass.group is it.Group.ALL
-        return dropped_anywhere and now < self._repeats_end(klass, anchor)
+        return self._repeats_end(klass, anchor) if dropped_anywhere else -math.inf
 
     def _close(self, now: float, request: PendingRequest) -> None:
         """Forget a request that has its answer; attempts still out only report to their hosts."""
--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -53,7 +53,7 @@
         """Count a request that was served."""
         self.ended_as["served"] += 1
 
-    def send_refusal(self, request: Request, backoff_ms: float) -> None:
+    def send_refusal(self, request: Request, backoff_ms: float, until: float) -> None:
         """Count a refusal."""
         self.ended_as["refused"] += 1
         if self.refusing is not None:
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -317,10 +317,11 @@
 
 
 class Refuse(NamedTuple):
-    """Final answer: not done, trying again is harmless."""
+    """Final answer: trying again is harmless, where it is told by the time `until`; later it is a failure."""
 
     request: int
     backoff: float = 0.0
+    until: float = math.inf
 
 
 class Fail(NamedTuple):
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -47,7 +47,7 @@
     """Reads one client's commands, and ends its connection when a limit is passed."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
-        super().__init__()
+        super().__init__(owner.node.clock)
         self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
         self.buffer = b""  # commands that are incomplete, or have to wait
         self.arrivals = ArrivalTimes()
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 
+from rainturn.node.gateway import Clock
 from rainturn.node.requests import Request
 
+FAILED = b"-ERR failed\r\n"
+
 
 class QueuedReply:
     """A reply that does not come from a request; it waits for those before it."""
@@ -20,7 +24,8 @@
 class ClientReplies(asyncio.Protocol):
     """Answers requests over one connection. A long value goes out in pieces, in its request's turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
         self.transport: asyncio.Transport
         self.pending: deque[Request | QueuedReply] = deque()  # what is still to be answered, in order
         self.closing = False  # whether nothing more is read: the connection ends once all is answered
@@ -30,13 +35,14 @@
         """Send a host's value."""
         self._answer(request, b"$%d\r\n%s\r\n" % (len(value), value))
 
-    def send_refusal(self, request: Request, backoff_ms: float) -> None:
-        """Say that trying again is harmless, and after how long."""
+    def send_refusal(self, request: Request, backoff_ms: float, until: float) -> None:
+        """Say that trying again is harmless, and after how long, if its turn comes by `until`."""
+        request.reply_until = until
         self._answer(request, b"-BUSY %d\r\n" % max(1, round(backoff_ms)) if backoff_ms > 0 else b"-BUSY\r\n")
 
     def send_failure(self, request: Request) -> None:
         """Send an error that promises nothing."""
-        self._answer(request, b"-ERR failed\r\n")
+        self._answer(request, FAILED)
 
     def begin_value(self, request: Request, length: int) -> None:
         """Begin a long value of so many bytes."""
@@ -86,13 +92,18 @@
                 entry.value_pieces.clear()
             if entry.reply is None:
                 break
-            ready.append(entry.reply)
+            ready.append(self._reply_now(entry) if isinstance(entry, Request) else entry.reply)
             self.pending.popleft()
         if not ready or self.transport.is_closing():
             return
         self.transport.write(b"".join(ready) if len(ready) > 1 else ready[0])
         self._replies_written()
 
+    def _reply_now(self, request: Request) -> bytes:
+        """A request's answer as it is true in its turn: a refusal may have come too late to be harmless."""
+        late = request.reply_until < math.inf and self.clock.now() > request.reply_until
+        return FAILED if late or request.reply is None else request.reply
+
     def _replies_written(self) -> None:
         """Called after replies went out; fewer are pending, or none."""
         raise NotImplementedError
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -195,7 +196,7 @@
         klass = self.settings.classes[request.arrival.request_class]
         if klass.effect is it.Effect.SAFE or not request.may_run():
             self._finish(request, Ending.DROPPED)
-            request.client.send_refusal(request, 0.0)
+            request.client.send_refusal(request, 0.0, math.inf)
         else:
             self._finish(request, Ending.BAD_GATEWAY)
             request.client.send_failure(request)
@@ -225,7 +226,7 @@
         request = self._open(action.request)
         if request is not None:
             self._finish(request, Ending.DROPPED)
-            request.client.send_refusal(request, action.backoff)
+            request.client.send_refusal(request, action.backoff, action.until)
         self._forget(action.request)
 
     def _fail(self, action: it.Fail, now: float) -> None:
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -19,8 +19,11 @@
     def send_value(self, request: Request, value: bytes) -> None:
         """Answer with a host's value."""
 
-    def send_refusal(self, request: Request, backoff_ms: float) -> None:
-        """Answer that trying again is harmless; a backoff over 0 says after how long."""
+    def send_refusal(self, request: Request, backoff_ms: float, until: float) -> None:
+        """Answer that trying again is harmless; a backoff over 0 says after how long.
+
+        If its turn comes after `until` (Unix time in ms) that is not true any more, and it is a failure.
+        """
 
     def send_failure(self, request: Request) -> None:
         """Answer with an error that promises nothing."""
@@ -60,6 +63,7 @@
         "fields_after",
         "client",
         "reply",
+        "reply_until",
         "attempts",
         "open_attempts",
         "done",
@@ -95,6 +99,7 @@
         self.client, self.held_bytes = client, held_bytes
         self.body = body  # its last value, if that is passed on
         self.reply: bytes | None = None  # the answer, while it waits for those before it
+        self.reply_until = math.inf  # a refusal is a failure after this
         self.value_pieces: list[bytes] = []  # of a long value, while they wait for the answers before it
         self.value_source: ValueSource | None = None  # set once a long value has begun: no other can be given
         self.attempts: list[Attempt | None] = []  # by number; None: it has ended
