--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 
 from rainturn import interface as it
 from rainturn.decisions import Gateway
-from tests.helpers import LIMITS, settings
+from tests.helpers import LIMITS, Drive, of, settings
 
 UNRUN = (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.MOOT)
 CEILED = it.Plan(price=1, rate=50, burst=50, ceiling_rate=5, ceiling_burst=10, ceiling_slack=1)
@@ -279,3 +279,29 @@
             budget = rules.fall_multiple * warmth * rate * size[n] * rules.fall_ms
             here = sum(at <= later < at + rules.fall_ms for later in times[i:])
             assert here <= budget + 2 * budget**0.5 + 2, (n, at - born[n], here, budget)
+
+
+def test_rule_five_holds_however_often_a_gateway_starts_again() -> None:
+    """The store is the customer's: a process that starts anew finds it as it stands, and knows nothing."""
+    plan = it.Plan(price=1, rate=50, burst=50, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1)
+    config = settings(plans=(plan,), counter=False, gateways=1)
+    store, filled_at, now = plan.ceiling_burst, 100_000.0, 100_000.0
+
+    def press(drive: Drive, requests: int) -> None:
+        """As many requests at once; each unit that is sent on comes out of the store."""
+        nonlocal store, filled_at
+        store = min(plan.ceiling_burst, store + plan.ceiling_rate * (drive.now - filled_at) / 1000)
+        filled_at = drive.now
+        for _ in range(requests):
+            store -= len(of(drive.arrive(spread=1.0)[1], it.Send))
+        assert store >= -plan.ceiling_slack
+
+    drive = Drive(config, now=now)
+    press(drive, 1)
+    drive.run_for(10_000)  # its part fills up
+    press(drive, 20)
+    for _ in range(5):
+        drive = Drive(config, now=drive.now + 50.0)
+        press(drive, 20)
+    drive.run_for(2000)
+    press(drive, 20)
