Quota: a process that starts anew takes no part of a ceiling's slack

Change: a process begins with nothing and fills from its start. Such a plan's first requests after a start wait for that; no site at hand has a plan with a ceiling.

--- a/rainturn/decisions/quota.py
+++ b/rainturn/decisions/quota.py
@@ -29,9 +29,10 @@
     customer.level = customer.counted_level = plan.burst / spread
     customer.others_rate = plan.rate * (1.0 - 1.0 / spread)
     customer.fallback_slots = max(1, int(plan.parallel / spread))
-    # A restarted gateway's share may be spent: it starts with its part of the slack and fills from there.
+    # A process before this one may have spent all, the slack too, and another may follow at any time: each
+    # starts with nothing and fills from there.
     customer.ceiling_rate = plan.ceiling_rate / spread / 1000.0
-    customer.ceiling = plan.ceiling_slack / spread + (now - started) * customer.ceiling_rate
+    customer.ceiling = (now - started) * customer.ceiling_rate
     return customer
 
 
