--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -164,7 +164,8 @@
 
     def release(self, connection: HostConnection) -> None:
         """Keep a connection that carries nothing as an idle one, if it may be used again; else close it."""
-        if self.leaving or connection.closed or self.pools.closing:
+        moved = connection.address != self.address
+        if self.leaving or moved or connection.closed or self.pools.closing:
             return connection.close()
         self.idle.append(connection)
         self.pools.idle[connection] = None
