--- a/tests/test_audit_clients.py
+++ b/tests/test_audit_clients.py
@@ -10,7 +10,7 @@
 import hiredis
 
 from rainturn.node.resp import pack
-from tests.sockets import WIRE, Client, World, run, served, soon
+from tests.sockets import WIRE, Client, Peer, World, run, served, soon
 
 SHORT_MS, LONG_MS = 700, 4000  # how long clients wait for requests that hang, and for those behind them
 SLACK_MS = 150.0  # of the time that an attempt tells its host
@@ -136,3 +136,48 @@
             assert client.answers == [value] * 30
 
     run(main())
+
+
+def test_a_request_behind_a_long_value_is_not_taken_before_that_is_whole() -> None:
+    """A value that breaks off ends its connection: what had been read behind it would be lost."""
+
+    async def main() -> None:
+        breaks = asyncio.Event()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def handler(words: list[bytes]) -> bytes | None:
+            if words[2] != b"long":
+                return served()
+            writers.append(await world.hosts[0].connected.get())
+            writers[0].write(b"*3\r\n$1000000\r\n" + b"v" * 100_000)
+            await breaks.wait()
+            return Peer.RESET
+
+        async with World(handler) as world:
+            client = await world.client()
+            client.ask(b"long")
+            assert await soon(client.reader.read(1))  # it has begun
+            client.ask(b"behind")
+            await asyncio.sleep(0.1)
+            breaks.set()
+            with contextlib.suppress(ConnectionError):
+                while await soon(client.reader.read(1 << 16)):
+                    pass
+            seen = [world.hosts[0].commands.get_nowait()[2] for _ in range(world.hosts[0].commands.qsize())]
+            assert seen == [b"long"]
+
+    run(main())
+
+
+def test_a_request_behind_a_long_value_is_served_after_it() -> None:
+    async def main() -> None:
+        value = b"v" * 300_000
+        async with World(lambda words: served(value if words[2] == b"long" else b"value")) as world:
+            client = await world.client()
+            for number in range(3):
+                client.ask(b"long")
+                client.ask(b"%d" % number)
+                assert await client.answer() == value
+                assert await client.answer() == b"value"
+
+    run(main())
