Clients: read no further commands while a long value goes out

Change: from the first byte of a long value until its last nothing more is read on its connection; a command that crosses its end is the client's to send again. What was read before the value began can still be lost with it (open).

--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -93,7 +93,7 @@
                 at < len(data)
                 and commands < COMMAND_BATCH
                 and not (self.closing or self.writing_paused)
-                and (self.body is not None or len(self.pending) < MAX_PENDING)
+                and (self.body is not None or not self._awaits_answers())
             ):
                 if self.body is not None:
                     body = self.body
@@ -208,7 +208,21 @@
             return True
         if self.body is not None and self.body.long:
             return not self.body.wants()
-        return len(self.pending) >= MAX_PENDING
+        return self._awaits_answers()
+
+    def _awaits_answers(self) -> bool:
+        """Whether no further command may be taken before some are answered.
+
+        Guards against requests behind a long value being lost with it: if it breaks off the connection ends.
+        """
+        if len(self.pending) >= MAX_PENDING:
+            return True
+        return any(isinstance(entry, Request) and entry.value_source is not None for entry in self.pending)
+
+    def begin_value(self, request: Request, length: int) -> None:
+        """Begin a long value of so many bytes, and read no further commands until it has gone out."""
+        super().begin_value(request, length)
+        self._update_reading()
 
     # Commands.
 
