Hosts: a start that the list tells again is no news

Change: starts are remembered by host and listed time, 8,192 at most, and keep what they were taken for.

--- a/rainturn/host_ages.py
+++ b/rainturn/host_ages.py
@@ -18,6 +18,7 @@
 NEWS_AGE_MS = 3000.0
 FIRST_LIST_MS = 1000.0  # a first list may come in parts, for so long
 LONG_AGO = 0.0  # as a start time
+MOST_STARTS = 8192  # remembered ones: a host that comes back to the list with an older start is taken for new
 
 
 class HostAges:
@@ -27,6 +28,7 @@
         self.warm_ms = warm_ms  # a host is warm after this
         self.first_list_ends = math.inf  # until when news belong to the first list of discovery
         self.newest = -math.inf  # the latest start that the list names, by its own clock
+        self.starts: dict[tuple[int, float], float] = {}  # by host and listed start, the oldest news first
 
     def follow(self, now: float, event: it.HostList) -> None:
         """Note a list or a change of it, before its entries are judged."""
@@ -35,8 +37,16 @@
         if now < self.first_list_ends:
             self.newest = max(self.newest, max(_starts(event.entries), default=-math.inf))
 
-    def started_at(self, now: float, listed: float) -> float:
-        """When a host started of which the list tells a new start time, Unix ms."""
+    def started_at(self, now: float, entry: it.HostEntry) -> float:
+        """When a host started, by a line of the list, Unix ms; a start that is told again is no news."""
+        key = (entry.order or entry.host, entry.started)
+        if key not in self.starts:
+            self.starts[key] = self._estimate(now, entry.started)
+            if len(self.starts) > MOST_STARTS:
+                del self.starts[next(iter(self.starts))]
+        return self.starts[key]
+
+    def _estimate(self, now: float, listed: float) -> float:
         if now >= self.first_list_ends:
             return listed if now - NEWS_AGE_MS <= listed <= now else now
         behind = now - self.newest
--- a/rainturn/records.py
+++ b/rainturn/records.py
@@ -81,7 +81,7 @@
         self.gone = entry.state is it.HostState.GONE
         if self.is_restart(entry.started):
             self.listed_start = entry.started
-            self.started = max(self.started, ages.started_at(now, entry.started))
+            self.started = max(self.started, ages.started_at(now, entry))
             self.failures = 0
 
     def is_restart(self, listed_start: float) -> bool:
--- a/tests/test_audit_clocks.py
+++ b/tests/test_audit_clocks.py
@@ -62,3 +62,15 @@
     assert _share(drive, 1) < 0.12
     drive.run_for(settings().rules.warm_ms + 1000.0)
     assert _share(drive, 1) > 0.12
+
+
+def test_a_host_that_comes_back_to_the_list_with_the_start_it_had_is_as_warm_as_it_was() -> None:
+    """Discovery had lost sight of it for a moment; nothing started."""
+    drive = _drive()
+    _changed(drive, _entry(9, drive.now))
+    drive.run_for(settings().rules.warm_ms + 1000.0)
+    before = drive.now
+    drive.feed(it.HostList(it.ListKind.FULL, hosts(4).entries))  # it is left out
+    drive.run_for(1000.0)
+    _changed(drive, _entry(9, before - settings().rules.warm_ms - 1000.0))
+    assert _share(drive, 9) > 0.12
--- a/tests/test_host_index.py
+++ b/tests/test_host_index.py
@@ -41,6 +41,7 @@
         self.config = config
         self.lines: dict[int, Line] = {}
         self.news_from, self.newest = math.inf, -math.inf
+        self.starts: dict[tuple[int, float], float] = {}
         self.fleet, self.mean_size = 1.0, 0.0
 
     def warmth(self, now: float, started: float) -> float:
@@ -54,7 +55,11 @@
         part = min(1.0, line.entry.size / self.mean_size) if self.mean_size else 1.0
         return self.config.rules.fall_multiple / 3 * self.warmth(now, line.started) * part
 
-    def start(self, now: float, listed: float) -> float:
+    def start(self, now: float, entry: it.HostEntry) -> float:
+        key = (entry.order or entry.host, entry.started)  # the same as it was, if it is told again
+        return self.starts.setdefault(key, self.estimate(now, entry.started))
+
+    def estimate(self, now: float, listed: float) -> float:
         if now >= self.news_from:
             return listed if now - 3000 <= listed <= now else now
         return min(now, listed + (now - self.newest if now - self.newest > self.config.rules.warm_ms else 0))
@@ -89,7 +94,7 @@
         if not same or restart or line.standing == "out":
             line.entry = entry._replace(order=line.entry.order)
             if restart:
-                line.listed, line.started = entry.started, max(line.started, self.start(now, entry.started))
+                line.listed, line.started = entry.started, max(line.started, self.start(now, entry))
             line.standing = self.look(now, line)
 
     def look(self, now: float, line: Line) -> str:
