--- a/tests/test_audit_clients.py
+++ b/tests/test_audit_clients.py
@@ -181,3 +181,24 @@
                 assert await client.answer() == b"value"
 
     run(main())
+
+
+def test_a_slow_reader_that_is_told_to_go_does_not_give_way_before_it_has_its_answers() -> None:
+    """A crowd of new clients, as many as there may be, while answers are on their way to it."""
+
+    async def main() -> None:
+        value = b"v" * 60_000
+        async with World(lambda words: served(value), descriptors=100) as world:
+            with socket.socket() as raw:
+                client = SlowReader(raw)
+                await client.ask(world.address, 30)
+                raw.send(b"garbage\r\n")
+                while not world.parts.clients.timeouts.lingering:
+                    await asyncio.sleep(0.01)
+                crowd = [await world.client() for _ in range(2 * world.parts.clients.budget)]
+                await client.read(0.002, sends=b"x")
+            assert client.answers[:30] == [value] * 30
+            for other in crowd:
+                other.writer.transport.abort()
+
+    run(main())
