--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -405,8 +405,11 @@
         self.timeouts.enter(self.timeouts.lingering, self)
 
     def can_give_way(self) -> bool:
-        """Whether a connection without open requests may be closed at once: nothing is on its way on it."""
-        return not (self.has_unread_input() or unsent(self.transport))
+        """Whether a connection without open requests may be closed at once.
+
+        Not while its answers are on their way, or something has come that is to be read.
+        """
+        return not (unsent(self.transport) or (self.has_unread_input() and not self.closing))
 
     def has_unread_input(self) -> bool:
         """Whether bytes of the client, or its end, lie in the system and the loop has yet to read them."""
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -101,10 +101,8 @@
         that has been told to go comes first, then one that never proved itself, then the one idle longest.
         One whose next command has come, read or not, or whose answers have not left, is left alone.
         """
-        if self.lingering:
-            return next(iter(self.lingering))
-        silent = (c for c in chain(self.unproven, self.idle) if c.can_give_way())
-        return next(silent, None)
+        candidates = chain(self.lingering, self.unproven, self.idle)
+        return next((connection for connection in candidates if connection.can_give_way()), None)
 
     def start(self) -> None:
         """Begin to sweep."""
