--- a/review/3/case.py
+++ b/review/3/case.py
@@ -42,7 +42,7 @@
     """Press through both gateways, replace the processes of both, and keep the customer's store."""
     world.settings["plans"].append(
         {"cap_slack": SLACK, "ceiling_burst": CEILING_BURST, "excess_cost": 0.8, "extra_worth": 0.0}
-        | {"name": "strop", "never_over_rate": CEILING_RATE, "parallel": 30, "peak_units": 0.0}
+        | {"name": "strop", "never_over_rate": CEILING_RATE, "parallel": 8, "peak_units": 0.0}
         | {"per_second": 0.0, "price": 1.6}
     )
     rng = random.Random(3)
