Clients: buffer a long value that has commands behind it, so that its end loses none

Cause: RESP2 has one sign for a value that ends early, the end of the connection. Reading stops when a long value begins, but commands that were read before it (running, or whole in the read buffer) are lost with the connection (ClientReplies.cut_value).

A close at any other moment loses them too, as replies go out in the order of the commands.

Change: a long value is sent as it arrives only if no command behind it has been read; otherwise it is buffered whole, within its deadline and an eighth of the memory limit (ValueMemory). One that breaks off, stalls, is too long, late, finds no memory or meets the shutdown is withdrawn before its client got any of it. Its request is repeated if its class allows that (AttemptEnded.answer_withdrawn), otherwise refused or failed; those behind it get their replies. Same cause next to it: a cut closed the connection at once, also over unread input, and that reset dropped replies before the value on their way to a slow client; now its sending side ends first.

--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -138,7 +138,7 @@
         self._finish_attempt(now, owner, attempt)
         if request is not None:
             attempt.may_have_run = attempt.may_have_run and event.outcome not in NEVER_RAN
-            request.is_bound = request.is_bound or event.body_consumed
+            request.is_bound = (request.is_bound and not event.answer_withdrawn) or event.body_consumed
             self._continue(now, event, request)
         return owner.customer
 
--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -63,8 +63,9 @@
         """Count a failed request."""
         self.outcome_counts["failed"] += 1
 
-    def begin_value(self, request: Request, length: int) -> None:
-        """Do nothing: simulated hosts send no long values."""
+    def begin_value(self, request: Request, length: int) -> bool:
+        """Return True: simulated hosts send no long values."""
+        return True
 
     def send_piece(self, request: Request, data: bytes) -> None:
         """Do nothing: simulated hosts send no long values."""
@@ -76,8 +77,9 @@
     def end_value(self, request: Request) -> None:
         """Do nothing: simulated hosts send no long values."""
 
-    def cut_value(self, request: Request) -> None:
-        """Do nothing: simulated hosts send no long values."""
+    def withdraw_value(self, request: Request) -> bool:
+        """Return True: simulated hosts send no long values."""
+        return True
 
 
 class SimulatedHosts:
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -244,6 +244,7 @@
     actual_units: float | None = None  # units that the request took; None: as `Arrived.units` says
     load: tuple[float, ...] = ()  # values that the host reports, by `Settings.load_fields`
     body_consumed: bool = False  # whether the request's body has been passed on and cannot be sent again
+    answer_withdrawn: bool = False  # whether its answer had begun, and the client got nothing of it
 
 
 class RequestGone(NamedTuple):
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -18,6 +18,7 @@
 from rainturn.node.metrics import Ending
 from rainturn.node.requests import Request
 from rainturn.node.resp import ProtocolError, count_unread_bytes, count_unsent_bytes, parse_command
+from rainturn.node.value_memory import ValueMemory
 
 MAX_ERRORS = 8  # invalid commands on one connection; one more closes it
 MAX_PENDING = 32  # unanswered commands per connection; further input stays unread
@@ -31,6 +32,7 @@
     node: Node
     parser: CommandParser
     timeouts: ConnectionTimeouts[ClientConnection]
+    value_memory: ValueMemory
     draining: bool
 
     def has_room(self, request: Request) -> bool:
@@ -47,7 +49,7 @@
     """Reads the commands of one client, and closes the connection when the client exceeds a limit."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
-        super().__init__(owner.node.clock)
+        super().__init__(owner.node.clock, owner.value_memory)
         self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
         self.buffer = b""  # bytes of commands that are incomplete or not parsed yet
         self.arrivals = ArrivalTimes()
@@ -207,6 +209,10 @@
             self.timeouts.idle.pop(self, None)
             self.timeouts.enter(self.timeouts.uploading, self)
 
+    def _is_receiving_streamed_body(self) -> bool:
+        """Return whether the rest of a streamed body is due, whose command is already being executed."""
+        return self.body is not None and self.body.is_streamed
+
     def _has_enough_input(self) -> bool:
         """Return whether the parser, the body or the open requests cannot accept more input for now."""
         if self.parse_handle is not None:
@@ -218,17 +224,28 @@
     def _must_await_replies(self) -> bool:
         """Return whether earlier commands have to be answered before the next one is executed.
 
-        Guards against losing the requests behind a long value: if the value is cut short, the connection
-        closes.
+        Guards against losing the requests behind a long value that is sent as it arrives: if the value is cut
+        short, the connection closes.
         """
         if len(self.pending) >= MAX_PENDING:
             return True
-        return any(isinstance(entry, Request) and entry.value_source is not None for entry in self.pending)
+        return any(isinstance(entry, Request) and entry.is_streaming() for entry in self.pending)
 
-    def begin_value(self, request: Request, length: int) -> None:
-        """Begin a long value of `length` bytes, and read no further commands until it has been sent."""
-        super().begin_value(request, length)
+    def begin_value(self, request: Request, length: int) -> bool:
+        """Begin a long value; if it is sent as it arrives, read no commands until it has been sent."""
+        has_begun = super().begin_value(request, length)
         self._update_reading()
+        return has_begun
+
+    def _has_commands_behind(self, request: Request) -> bool:
+        """Return whether commands behind the one of this request have been read, or are still being read.
+
+        A part of a command does not count, as the rest of it stays unread: the client sends it once more.
+        """
+        if self.pending and self.pending[-1] is not request:
+            return True
+        has_whole_command = bool(self.buffer) and self not in self.timeouts.incomplete
+        return has_whole_command or self._is_receiving_streamed_body()
 
     # Commands.
 
@@ -288,6 +305,7 @@
         request, self.upload_request = self.upload_request, None
         if request is not None and not request.is_finished:
             self.node.abandon_request(request)  # its body was never complete; the error below is its reply
+            self._discard_value(request)
             if request in self.pending:
                 self.pending.remove(request)
         if self.pending:
@@ -348,7 +366,7 @@
         Guards against an error waiting for a long time behind open requests.
         """
         for entry in list(self.pending):
-            if isinstance(entry, Request) and not entry.is_finished and entry.value_source is None:
+            if isinstance(entry, Request) and not entry.is_finished and not entry.is_streaming():
                 self.node.end_request_now(entry)
 
     # Sent replies.
@@ -385,6 +403,7 @@
     def resume_writing(self) -> None:
         """Continue parsing and sending once the client reads again."""
         self.writing_paused = False
+        self._release_sent_values()
         self.timeouts.write_stalled.pop(self, None)
         self._parse()
         self._resume_value()
@@ -410,6 +429,11 @@
         self._update_reading()
         self._close_write_side()
 
+    def _end_after_cut_value(self) -> None:
+        """Close after a part of a long value, once the client's machine has what was sent before."""
+        self.pending.clear()
+        self._close_gracefully()
+
     def _close_write_side(self) -> None:
         """Half-close the connection; the client has some time to read the replies already written."""
         self.transport.write_eof()
@@ -468,6 +492,8 @@
         for entry in pending:
             if isinstance(entry, Request):
                 self.node.abandon_request(entry)
+                self._discard_value(entry)
+        self._release_sent_values()
 
     def eof_received(self) -> None:
         """Handle the client's end of stream immediately, without waiting for pending writes."""
--- a/rainturn/node/client_listener.py
+++ b/rainturn/node/client_listener.py
@@ -15,6 +15,7 @@
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
 from rainturn.node.system_errors import CLIENT_GONE, RETRY_S
+from rainturn.node.value_memory import ValueMemory
 from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
@@ -23,6 +24,7 @@
 ACCEPT_BATCH = 32  # connections accepted per event loop iteration, so that other work is not delayed
 FINAL_ACCEPT_TIMEOUT_S = 0.25  # how long failed accepts are retried before the listener closes
 COMMAND_MEMORY_SHARE = 0.25  # share of the memory limit that the commands of open requests may use
+VALUE_MEMORY_SHARE = 0.125  # share of the memory limit that long values which are buffered whole may use
 DRAIN_DELAY_S = 0.6  # from going out of service to draining; the last new connections have arrived by then
 CLOSE_TIMEOUT_S = 0.2  # how long the last replies may take to be sent when the gateway stops
 
@@ -42,6 +44,7 @@
     def __init__(self, node: Node, names: Names, budget: int, max_open: int, memory_mb: float) -> None:
         self.node, self.budget, self.max_open = node, budget, max_open
         self.max_held_bytes = int(memory_mb * COMMAND_MEMORY_SHARE * (1 << 20))
+        self.value_memory = ValueMemory(int(memory_mb * VALUE_MEMORY_SHARE * (1 << 20)))
         self.parser = CommandParser(node, names)
         self.timeouts: ConnectionTimeouts[ClientConnection] = ConnectionTimeouts(node.loop)
         self.connections: set[ClientConnection] = set()
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -13,7 +13,7 @@
 from rainturn import interface as it
 from rainturn.decisions import Gateway
 from rainturn.node.metrics import Ending, Metrics
-from rainturn.node.requests import Attempt, Request, ValueSource
+from rainturn.node.requests import Attempt, Request, ValueSource, ValueTransfer
 
 __all__ = ["Attempt", "AttemptRunner", "Clock", "CounterCaller", "Node", "Request"]
 
@@ -171,7 +171,7 @@
         """End a request whose client has disconnected; it gets no reply."""
         if request.is_finished:
             return
-        streaming = not request.is_complete() or request.value_source is not None
+        streaming = not request.is_complete() or request.transfer is not None
         self._finish_request(request, None)
         self.dispatch(it.RequestGone(request.number))
         for attempt in request.attempts if streaming else ():
@@ -183,12 +183,15 @@
         self._forget_if_finished(request.number)
 
     def _on_deadline(self, request: Request) -> None:
-        """End all attempts as timed out, and then the request itself if it is still open."""
+        """End the attempts as timed out, and then the request itself if it is still open.
+
+        A value that is being sent as it arrives has begun in time; its attempt goes on.
+        """
         request.deadline_timer = None
         for attempt in request.attempts:
-            if attempt is not None:
+            if attempt is not None and not request.is_streaming():
                 self._time_out(attempt)
-        if not request.is_finished:
+        if not (request.is_finished or request.is_streaming()):
             # Guards against a request that the decision module has lost or holds too long: rule 1 demands a
             # reply to every request.
             log.warning("request without a reply at its deadline")
@@ -197,8 +200,16 @@
 
     def end_request_now(self, request: Request) -> None:
         """Send the final reply without the decision module: a refusal where rule 2 allows one."""
-        if request.value_source is not None:
-            return self._cut_value(request)
+        transfer = request.transfer
+        self._withdraw_value(request)
+        if not request.is_finished:
+            self._give_up(request)
+        if transfer is not None:
+            self.hosts.drop(transfer.attempt)
+            self.end_attempt(transfer.attempt, it.Outcome.CANCELLED)
+
+    def _give_up(self, request: Request) -> None:
+        """Send a refusal if a repeat is harmless, otherwise a failure, without the decision module."""
         request_class = self.settings.classes[request.arrival.request_class]
         if request_class.effect is it.Effect.SAFE or not request.may_run():
             self._finish_request(request, Ending.DROPPED)
@@ -208,11 +219,15 @@
             request.client.send_failure(request)
         self.dispatch(it.RequestGone(request.number))
 
-    def _cut_value(self, request: Request) -> None:
-        """End a request whose long value has begun and cannot be completed."""
-        self._finish_request(request, Ending.BAD_GATEWAY)
-        request.client.cut_value(request)
-        self.dispatch(it.RequestGone(request.number))
+    def _withdraw_value(self, request: Request) -> None:
+        """Take back a long value that cannot be completed; this ends the request if a part of it was sent."""
+        if request.transfer is None:
+            return
+        is_answerable = request.client.withdraw_value(request)
+        request.transfer = None
+        if not is_answerable:
+            self._finish_request(request, Ending.BAD_GATEWAY)
+            self.dispatch(it.RequestGone(request.number))
 
     def _finish_request(self, request: Request, ending: Ending | None) -> None:
         """Mark a request as ended, once. An ending of None means that its client left; it is not counted."""
@@ -229,7 +244,7 @@
         Returns None if it has ended since the action was decided, or if a long value has begun.
         """
         request = self.requests.get(number)
-        return None if request is None or request.is_finished or request.value_source is not None else request
+        return None if request is None or request.is_finished or request.transfer is not None else request
 
     def _refuse(self, action: it.Refuse, now: float) -> None:
         request = self._answerable_request(action.request)
@@ -281,18 +296,21 @@
             self.end_attempt(attempt, it.Outcome.CANCELLED)
 
     def begin_streaming(self, attempt: Attempt, length: int, source: ValueSource) -> bool:
-        """Begin to stream a long value of `length` bytes to the client; deadlines no longer apply.
+        """Begin to pass a long value of `length` bytes on to the client.
 
-        Returns False, and streams nothing, if the request has already ended.
+        Deadlines no longer apply if it is sent as it arrives. Returns False if the value is not wanted: the
+        request has already ended, or it ends now, as there is no memory to buffer the value.
         """
         request = attempt.request
         if request.is_finished:
             return False
-        request.value_source = source
-        for timer in (request.deadline_timer, attempt.timer):
-            if timer is not None:
-                timer.cancel()
-        request.client.begin_value(request, length)
+        request.transfer = ValueTransfer(attempt, source)
+        if not request.client.begin_value(request, length):
+            request.transfer = None
+            self.end_request_now(request)
+            return False
+        if request.is_streaming() and attempt.timer is not None:
+            attempt.timer.cancel()
         self.dispatch(it.StreamBegan(request.number, attempt.number))
         return True
 
@@ -310,12 +328,15 @@
             attempt.timer.cancel()
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.NOT_SENT):
             request.may_have_run = True
-        if request.value_source is not None and not request.is_finished:
+        is_withdrawn = False
+        if request.transfer is not None and not request.is_finished:
             if outcome is it.Outcome.OK:
+                request.transfer = None
                 self._finish_request(request, Ending.PASSED)
                 request.client.end_value(request)
             else:
-                self._cut_value(request)
+                self._withdraw_value(request)
+                is_withdrawn = not request.is_finished
         elif outcome is it.Outcome.OK and not request.is_finished:
             self._finish_request(request, Ending.PASSED)
             request.client.send_value(request, value)
@@ -330,6 +351,7 @@
                 elapsed,
                 request.is_finished,
                 body_consumed=body_consumed,
+                answer_withdrawn=is_withdrawn,
             )
         )
 
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from rainturn import interface as it
 from rainturn.node.body import Body
@@ -29,8 +29,11 @@
     def send_failure(self, request: Request) -> None:
         """Send an error that does not say whether the request has run."""
 
-    def begin_value(self, request: Request, length: int) -> None:
-        """Begin a long value of `length` bytes."""
+    def begin_value(self, request: Request, length: int) -> bool:
+        """Begin a long value of `length` bytes; return False if there is no room for one that must wait.
+
+        A value whose commands behind it have been read is sent only once it is whole.
+        """
 
     def send_piece(self, request: Request, data: bytes) -> None:
         """Send a piece of a long value."""
@@ -41,8 +44,12 @@
     def end_value(self, request: Request) -> None:
         """End a complete long value."""
 
-    def cut_value(self, request: Request) -> None:
-        """End an incomplete long value in a way that the client can detect."""
+    def withdraw_value(self, request: Request) -> bool:
+        """Take back an incomplete long value; return whether the request can still get another reply.
+
+        It cannot once a part of the value has been sent: the connection then ends, so that the client can
+        detect that the value is incomplete.
+        """
 
 
 class ValueSource(Protocol):
@@ -52,6 +59,13 @@
         """Send more of the value."""
 
 
+class ValueTransfer(NamedTuple):
+    """The transfer of a long value from the host of one attempt to the client."""
+
+    attempt: Attempt
+    source: ValueSource
+
+
 class Request:
     """One request of a client, until its last attempt has ended. Times are Unix time in ms."""
 
@@ -73,7 +87,8 @@
         "held_bytes",
         "body",
         "value_pieces",
-        "value_source",
+        "transfer",
+        "reserved_bytes",
         "time_limit_ms",
     )
 
@@ -100,8 +115,9 @@
         self.body = body  # the last argument, if it is streamed to the host
         self.reply: bytes | None = None  # set while it waits for earlier replies of the connection
         self.refusal_valid_until = math.inf  # a refusal that is sent later becomes a failure
-        self.value_pieces: list[bytes] = []  # of a long value, while they wait for earlier replies
-        self.value_source: ValueSource | None = None  # set once a long value has begun: the reply is fixed
+        self.value_pieces: list[bytes] = []  # of a long value, while they wait to be sent
+        self.transfer: ValueTransfer | None = None  # set while a long value arrives
+        self.reserved_bytes = 0  # memory reserved for a long value that is sent only once it is whole
         self.attempts: list[Attempt | None] = []  # by number; None: the attempt has ended
         self.open_attempts = 0
         self.is_finished = False  # whether its final reply is decided or its client has left
@@ -112,6 +128,10 @@
         """Return whether the last byte of the request has arrived."""
         return self.body is None or self.body.fully_received
 
+    def is_streaming(self) -> bool:
+        """Return whether a long value is being sent as it arrives, so that the reply cannot change."""
+        return self.transfer is not None and not self.reserved_bytes
+
     def may_run(self) -> bool:
         """Return whether an attempt may have run or may still run; one that waits for a connection cannot."""
         return self.may_have_run or any(
