Requests: tie a long value to the attempt that gives it, whatever other attempts do

Cause: a read whose host is silent is sent to a second host, and both attempts stay open. Node.begin_streaming asked only whether the request was finished, so the second value began on the same client connection. Nothing said which attempt a value belongs to: Node.end_attempt ended or cut it with any attempt of the request, the deadline's timer was dropped for all of them, and one that waited for a connection was still sent.

Change: Request.transfer names the attempt. A second value is not taken, another attempt's end is only reported, the deadline still ends the other attempts, and none begins once a value has. A value that the client has got nothing of is overtaken by a whole short one, or replaced by another attempt's if it breaks off.

--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -189,7 +189,7 @@
         """
         request.deadline_timer = None
         for attempt in request.attempts:
-            if attempt is not None and not request.is_streaming():
+            if attempt is not None and not (request.is_streaming() and request.is_fed_by(attempt)):
                 self._time_out(attempt)
         if not (request.is_finished or request.is_streaming()):
             # Guards against a request that the decision module has lost or holds too long: rule 1 demands a
@@ -244,7 +244,7 @@
         Returns None if it has ended since the action was decided, or if a long value has begun.
         """
         request = self.requests.get(number)
-        return None if request is None or request.is_finished or request.transfer is not None else request
+        return request if request is not None and request.is_unanswered() else None
 
     def _refuse(self, action: it.Refuse, now: float) -> None:
         request = self._answerable_request(action.request)
@@ -275,7 +275,7 @@
         request.attempts.append(attempt)
         request.open_attempts += 1
         limit = self.settings.limits.max_attempts
-        if request.is_finished or attempt.number >= limit or deadline <= now:
+        if not request.is_unanswered() or attempt.number >= limit or deadline <= now:
             return self.end_attempt(attempt, it.Outcome.NOT_SENT)
         if deadline < request.deadline:
             attempt.timer = self.loop.call_later((deadline - now) / 1000, self._time_out, attempt)
@@ -299,10 +299,11 @@
         """Begin to pass a long value of `length` bytes on to the client.
 
         Deadlines no longer apply if it is sent as it arrives. Returns False if the value is not wanted: the
-        request has already ended, or it ends now, as there is no memory to buffer the value.
+        request has already ended, the value of another attempt has begun, or the request ends now, as there
+        is no memory to buffer the value.
         """
         request = attempt.request
-        if request.is_finished:
+        if not request.is_unanswered():
             return False
         request.transfer = ValueTransfer(attempt, source)
         if not request.client.begin_value(request, length):
@@ -317,7 +318,8 @@
     def end_attempt(self, attempt: Attempt, outcome: it.Outcome, value: bytes = b"") -> None:
         """Report the end of an attempt to the decision module, once.
 
-        The first value is sent to the client without a decision.
+        The first value is sent to the client without a decision. A long value that has begun ends only with
+        its own attempt.
         """
         request = attempt.request
         if request.attempts[attempt.number] is not attempt:
@@ -329,7 +331,9 @@
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.NOT_SENT):
             request.may_have_run = True
         is_withdrawn = False
-        if request.transfer is not None and not request.is_finished:
+        if request.is_finished:
+            pass
+        elif request.is_fed_by(attempt):
             if outcome is it.Outcome.OK:
                 request.transfer = None
                 self._finish_request(request, Ending.PASSED)
@@ -337,7 +341,8 @@
             else:
                 self._withdraw_value(request)
                 is_withdrawn = not request.is_finished
-        elif outcome is it.Outcome.OK and not request.is_finished:
+        elif outcome is it.Outcome.OK and not request.is_streaming():
+            self._withdraw_value(request)  # of another attempt, which the client has got nothing of
             self._finish_request(request, Ending.PASSED)
             request.client.send_value(request, value)
         elapsed = max(0.0, self.clock.now() - attempt.started_at)
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -182,7 +182,7 @@
         data, self.buffer = self.buffer[value.start :], b""
         self.value_bytes_left, self.fields_after_value = value.length, value.field_count
         if not self.pool.node.begin_streaming(attempt, value.length, self):
-            return self.close(it.Outcome.CANCELLED)  # the request has ended
+            return self.close(it.Outcome.CANCELLED)  # the request has ended, or has another value
         self._forward_value(data)
 
     def _forward_value(self, data: bytes) -> None:
@@ -195,7 +195,7 @@
         if attempt is None or self.value_bytes_left is None:
             return self.close()
         request = attempt.request
-        if request.is_finished:
+        if request.is_finished or not request.is_fed_by(attempt):
             return self.close(it.Outcome.CANCELLED)
         piece = data[: self.value_bytes_left]
         self.value_bytes_left -= len(piece)
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -113,7 +113,7 @@
         node, now = self.node, self.node.clock.now()
         request = attempt.request
         if (
-            request.is_finished
+            not request.is_unanswered()
             or self.is_leaving
             or now > attempt.begin_by
             or not request.client.is_connected()
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -128,10 +128,18 @@
         """Return whether the last byte of the request has arrived."""
         return self.body is None or self.body.fully_received
 
+    def is_unanswered(self) -> bool:
+        """Return whether no final reply is decided, and no long value has begun to arrive."""
+        return not self.is_finished and self.transfer is None
+
     def is_streaming(self) -> bool:
         """Return whether a long value is being sent as it arrives, so that the reply cannot change."""
         return self.transfer is not None and not self.reserved_bytes
 
+    def is_fed_by(self, attempt: Attempt) -> bool:
+        """Return whether a long value arrives from the host of this attempt."""
+        return self.transfer is not None and self.transfer.attempt is attempt
+
     def may_run(self) -> bool:
         """Return whether an attempt may have run or may still run; one that waits for a connection cannot."""
         return self.may_have_run or any(
