Ceilings: only the older process of a gateway uses its share until it has ended

Cause: each gateway refills its share of a ceiling by itself, each process from its own start. That is right after a restart, where the process before has ended; during a handover two processes refill the one share. it.ProcessOverlap tells the module of the overlap, but only the slots used it, and it did not say which process is the older one.

Change: ProcessOverlap.is_older. The younger process sends on nothing that takes ceiling units until the older one has ended, and then refills its share from nothing. The numbered rules move from the module's entry point to interface.py, beside the events they speak of.

Tests: rule_five_holds_while_two_processes_of_a_gateway_serve and process_whose_successor_has_ended_goes_on_using_the_ceiling (tests/test_rules.py).

--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -29,6 +29,7 @@
         self.queued: dict[int, PendingRequest] = {}  # open ones held for a host or for ceiling units
         self.ended: dict[int, PendingRequest] = {}  # answered, but with attempts still open
         self.retry_budget = MAX_RETRY_BUDGET
+        self.has_predecessor = False  # whether an older process of this gateway still serves
         self.hold_timers = HoldTimers(self.timers, self._expire)
 
     def send_first(self, now: float, request: PendingRequest) -> None:
@@ -64,7 +65,7 @@
         customer = request.customer
         if customer is not None and customer.plan.ceiling_rate:
             quota.refill_buckets(customer, now)
-            if customer.ceiling_level < request.units:
+            if self.has_predecessor or customer.ceiling_level < request.units:
                 return False
             customer.ceiling_level -= request.units
         return True
@@ -245,12 +246,8 @@
         that a very expensive request may be started a second time.
         """
         attempt = request.attempts[number]
-        if (
-            not attempt.is_open
-            or request.id not in self.open
-            or request.open_attempts() != 1
-            or request.is_moving
-        ):
+        is_waiting = attempt.is_open and request.id in self.open
+        if not is_waiting or request.is_moving or request.open_attempts() != 1:
             return
         host, limit_ms = attempt.host, self.hosts.max_silence_ms(request, attempt.host)
         has_answered = host.last_answer_at > attempt.sent_at
--- a/rainturn/decisions/gateway.py
+++ b/rainturn/decisions/gateway.py
@@ -1,12 +1,4 @@
-"""The decision module's entry point: passes each event to the component that decides on it.
-
-Comments refer to the rules of the simulator's protocol by their numbers:
-1. Every request gets its final answer in time.
-2. No request takes effect twice.
-3. Nothing is sent to a draining or gone host after the grace period.
-4. A cold host gets no more than its budget.
-5. The ceiling is never exceeded.
-"""
+"""The decision module's entry point: passes each event to the component that decides on it."""
 
 import math
 from collections.abc import Callable
@@ -84,7 +76,7 @@
         return self.host_selector.skipped_count()
 
     def _start(self, now: float) -> None:
-        self.has_started, self.meter.started_at = True, now
+        self.has_started, self.meter.ceiling_since = True, now
         ends = now + PERIOD_MS * (0.5 + self.rng.random())  # so that gateways' periods do not coincide
         self.attempts.hold_timers.period_ends = ends
         self.timers.after(now, ends - now, self._on_period)
@@ -143,7 +135,11 @@
         self.in_service = event.on
 
     def _on_process_overlap(self, now: float, event: it.ProcessOverlap) -> None:
+        """Share the slots with the other process; the older one uses the ceilings until it ends (rule 5)."""
         self.slots.processes_overlap = event.on
+        if not event.is_older and event.on != self.attempts.has_predecessor:
+            self.attempts.has_predecessor = event.on
+            self.meter.take_over_ceilings(now)
 
     def _on_shutting_down(self, now: float, event: it.ShuttingDown) -> None:
         for customer in self.customers.values():
--- a/rainturn/decisions/metering.py
+++ b/rainturn/decisions/metering.py
@@ -30,14 +30,14 @@
         self.last_total_at = self.loss_found_at = -math.inf  # last total; last time that a loss was found
         self.fall_seen_at = -math.inf  # last time that a count was seen to fall, which proves a loss
         self.empty_counts = 0  # consecutive empty counts well after the start of their window
-        self.started_at = 0.0  # time of this gateway's first event
+        self.ceiling_since = 0.0  # since when this process refills the gateway's share of the ceilings
 
     def get_customer(self, now: float, event: it.Arrived) -> Customer:
         """Return the request's customer; a new one gets its plan's pass share, reduced for overruns."""
         customer, plan = self.customers.get(event.customer), self.settings.plans[event.plan]
         if customer is None or customer.plan is not plan:
             former = customer
-            customer = quota.new_customer(event.customer, plan, event.spread, now, self.started_at or now)
+            customer = quota.new_customer(event.customer, plan, event.spread, now, self.ceiling_since or now)
             cost = plan.over_cost / (1 + plan.over_cost)
             customer.pass_share = max(0.0, self.pass_shares[event.plan].share - cost) / (1 - cost)
             customer.pass_credit = self.rng.random()
@@ -48,6 +48,12 @@
         quota.refill_buckets(customer, now)
         return customer
 
+    def take_over_ceilings(self, now: float) -> None:
+        """Refill the share of each ceiling from now on, from nothing: a predecessor used it before."""
+        self.ceiling_since = now
+        for customer in self.customers.values():
+            customer.ceiling_level, customer.ceiling_filled_at = 0.0, now
+
     def _decide_without_total(self, now: float, former: Customer) -> None:
         """Decide the waiting requests of a customer for whom a new request names another plan.
 
--- a/rainturn/decisions/quota.py
+++ b/rainturn/decisions/quota.py
@@ -31,7 +31,7 @@
     customer.others_rate = plan.rate * (1.0 - 1.0 / spread)
     customer.fallback_slots = max(1, int(plan.parallel / spread))
     # A previous process may have spent the whole ceiling and its slack, and another may start at any time.
-    # Each process therefore starts with an empty ceiling bucket and refills it from its own start.
+    # Each process therefore starts with an empty ceiling bucket and refills it from when it serves alone.
     customer.ceiling_rate = plan.ceiling_rate / spread / 1000.0
     customer.ceiling_level = (now - started) * customer.ceiling_rate
     return customer
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -1,6 +1,13 @@
 """Types at the boundary of the decision module: settings at the start, events in, actions out.
 
 All times are milliseconds. Points in time are on the clock that `Gateway.handle` is given.
+
+Comments of the decision module refer to the rules of the simulator's protocol by their numbers:
+1. Every request gets its final answer in time.
+2. No request takes effect twice.
+3. Nothing is sent to a draining or gone host after the grace period.
+4. A cold host gets no more than its budget.
+5. The ceiling is never exceeded.
 """
 
 from __future__ import annotations
@@ -294,6 +301,7 @@
     """Another process of this same gateway begins to serve beside this one, or has ended."""
 
     on: bool
+    is_older: bool = True  # whether this process is the older one, the predecessor
 
 
 class ShuttingDown(NamedTuple):
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -149,4 +149,4 @@
         parts.split_budget(
             max(8, parts.connection_budget - max(parts.connection_budget // 2, other_descriptors))
         )
-    parts.node.dispatch(it.ProcessOverlap(other_descriptors is not None))
+    parts.node.dispatch(it.ProcessOverlap(other_descriptors is not None, is_older))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,10 +1,11 @@
 """Random event sequences, checked against the five rules by events and actions alone.
 
-The rules stand at the head of rainturn/decisions/gateway.py.
+The rules stand at the head of rainturn/interface.py.
 """
 
 from __future__ import annotations
 
+import json
 import random
 from dataclasses import dataclass, field, replace
 
@@ -15,6 +16,7 @@
 
 from rainturn import interface as it
 from rainturn.decisions import Gateway
+from rainturn.saved_state import restore_state, save_state
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
 
 NEVER_RAN = (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.NOT_SENT)
@@ -310,3 +312,54 @@
         send_burst(driver, 20)
     driver.advance_clock(2000)
     send_burst(driver, 20)
+
+
+@pytest.mark.parametrize("has_restored_state", [False, True])
+def test_rule_five_holds_while_two_processes_of_a_gateway_serve(has_restored_state: bool) -> None:
+    """Guards against two processes that each refill the gateway's share of a ceiling during a handover."""
+    plan = it.Plan(price=1, rate=50, burst=50, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1)
+    config = settings(plans=(plan,), counter=False, gateways=1)
+    old, new = GatewayDriver(config), GatewayDriver(config)
+    level, filled_at = plan.ceiling_burst, old.now
+
+    def press(duration_ms: float, *drivers: GatewayDriver) -> list[int]:
+        """Send requests to each process every 100 ms; return how many each of them sent on."""
+        nonlocal level, filled_at
+        sent = [0] * len(drivers)
+        for _ in range(round(duration_ms / 100)):
+            for number, driver in enumerate(drivers):
+                actions = driver.advance_clock(100)
+                for _ in range(4):
+                    actions += driver.start_request(spread=1.0)[1]
+                passed = 0
+                while sends := of_type(actions, it.Send):
+                    passed += len(sends)
+                    actions = [action for send in sends for action in driver.end_attempt(send, it.Outcome.OK)]
+                sent[number] += passed
+                level = min(plan.ceiling_burst, level + plan.ceiling_rate * (driver.now - filled_at) / 1000)
+                level, filled_at = level - passed, driver.now
+                assert level >= -plan.ceiling_slack
+        return sent
+
+    old.advance_clock(10_000)  # its share of the bucket refills
+    press(1000, old)
+    new.now = old.now
+    if has_restored_state:
+        restore_state(new.gateway, new.now, json.loads(json.dumps(save_state(old.gateway))))
+    old.handle(it.ProcessOverlap(True, is_older=True))
+    new.handle(it.ProcessOverlap(True, is_older=False))
+    by_old, by_new = press(3000, old, new)
+    assert by_old and not by_new
+    old.handle(it.ShuttingDown())
+    new.handle(it.ProcessOverlap(False, is_older=False))
+    (by_new,) = press(3000, new)
+    assert by_new >= plan.ceiling_rate * 2
+
+
+def test_process_whose_successor_has_ended_goes_on_using_the_ceiling() -> None:
+    plan = it.Plan(price=1, rate=50, burst=50, ceiling_rate=4, ceiling_burst=8, ceiling_slack=1)
+    driver = GatewayDriver(settings(plans=(plan,), counter=False, gateways=1))
+    driver.advance_clock(10_000)
+    for overlap in (True, False):
+        driver.handle(it.ProcessOverlap(overlap, is_older=True))
+        assert of_type(driver.start_request(spread=1.0)[1], it.Send)
