--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -12,11 +12,12 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import client_connection, host_connection, shutdown
+from rainturn.node import client_connection, client_timeouts, host_connection, shutdown
 from rainturn.node.resp import encode_array
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
 from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
 from tests.test_audit_clients import SlowReader
+from tests.test_node_size import ScriptedHost
 
 LENGTH = 300_000
 VALUE = b"v" * LENGTH
@@ -314,3 +315,36 @@
     end = it.AttemptEnded(number, 0, send.host, it.Outcome.RESET, 100.0, False, answer_withdrawn=withdrawn)
     actions = driver.handle(end)
     assert bool(of_type(actions, it.Send)) is withdrawn and bool(of_type(actions, it.Refuse)) is not withdrawn
+
+
+def test_command_whose_rest_comes_in_time_during_a_long_value_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the time limit of a command's head while the gateway itself does not read."""
+    monkeypatch.setattr(client_timeouts, "COMMAND_TIMEOUT_S", 0.3)
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            scripted_host = await ScriptedHost().start()
+            setup.parts.pools.pools[1].address = scripted_host.server.sockets[0].getsockname()
+            client = await setup.client()
+            command = encode_array([b"API.READ", b"00000000b4d65521", b"behind", FIELDS % b"read"])
+            client.send_request(b"long")
+            client.writer.write(command[:-20])
+            _, host = await scripted_host.next(setup)
+            (connection,) = setup.parts.clients.connections
+            while connection not in setup.parts.clients.timeouts.incomplete:
+                await asyncio.sleep(0.001)
+            host.write(BEGINNING)
+            while not connection.reading_paused:
+                await asyncio.sleep(0.001)
+            client.writer.write(command[-20:] + encode_array([b"PING"]))
+            await asyncio.sleep(1.0)  # longer than the limit and the sweep after it
+            host.write(success_answer(VALUE)[len(BEGINNING) :])
+            assert await client.read_answer() == VALUE
+            _, host = await scripted_host.next(setup)
+            host.write(success_answer())
+            assert [await client.read_answer() for _ in range(2)] == [b"value", b"PONG"]
+            scripted_host.server.close()
+
+    run(main())
