--- /dev/null
+++ b/rainturn/node/client_closing.py
@@ -0,0 +1,227 @@
+"""The end of a client connection: expired time limits, orderly closes, and clients that have hung up."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import sys
+from collections import deque
+from typing import Protocol, cast
+
+from rainturn.node.arrival_times import ArrivalTimes
+from rainturn.node.body import Body
+from rainturn.node.client_commands import CommandParser
+from rainturn.node.client_replies import ClientReplies
+from rainturn.node.client_timeouts import ConnectionTimeouts
+from rainturn.node.gateway import Node
+from rainturn.node.requests import Request
+from rainturn.node.resp import count_unread_bytes, count_unsent_bytes
+from rainturn.node.value_memory import ValueMemory
+
+LIVENESS_CHECK_INTERVAL_S = 0.1  # between checks for a hang-up of a client while reading is paused
+
+
+class ConnectionOwner(Protocol):
+    """The interface that a connection requires of the listener that accepted it."""
+
+    node: Node
+    parser: CommandParser
+    timeouts: ConnectionTimeouts[ClosingConnection]
+    value_memory: ValueMemory
+    draining: bool
+
+    def has_room(self, request: Request) -> bool:
+        """Return whether one more request may be open."""
+
+    def on_idle(self, connection: ClosingConnection) -> None:
+        """Handle a connection whose requests have all been answered."""
+
+    def on_closed(self, connection: ClosingConnection) -> None:
+        """Handle a connection that has ended."""
+
+
+class ClosingConnection(ClientReplies):
+    """The part of a client connection that decides when and how it ends."""
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        super().__init__(owner.node.clock, owner.value_memory)
+        self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
+        self.buffer = b""  # bytes of commands that are incomplete or not parsed yet
+        self.arrivals = ArrivalTimes()
+        self.body: Body | None = None  # of the command that is being received
+        self.unsent_bytes = 0  # bytes that the client had not received at the last check
+        self.has_sent_valid_command = False
+        self.reading_paused = False
+        self.reading_ended = False  # whether the connection closes as soon as the client has its replies
+        self.liveness_timer: asyncio.TimerHandle | None = None  # set while reading is paused
+        self.hangup_poll = select.poll()  # detects that the client has hung up, even behind unread input
+        self.input_poll = select.poll()  # detects unread input
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the time limit within which a new client has to send a valid command."""
+        self.transport = cast(asyncio.Transport, transport)
+        descriptor = transport.get_extra_info("socket").fileno()
+        self.hangup_poll.register(descriptor, select.POLLRDHUP)
+        self.input_poll.register(descriptor, select.POLLIN)
+        self.timeouts.enter(self.timeouts.awaiting_valid_command, self)
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading, as the state of the connection requires."""
+        raise NotImplementedError
+
+    def _reject(self, reason: str) -> None:
+        """Stop reading, reply with an error after all earlier replies, then close the connection."""
+        raise NotImplementedError
+
+    # Expired time limits, called by the sweep.
+
+    def abort(self) -> None:
+        """Close the connection immediately."""
+        self.transport.abort()
+
+    def close_if_silent(self) -> None:
+        """Close a connection that has sent nothing for too long.
+
+        Guards against cutting off a request that arrived in time when the event loop is late, since timers
+        run before sockets are read. After the next read, a client that has sent a valid command counts as
+        idle again; any other client must have sent one by then.
+        """
+        if not self.has_unread_input():
+            self._close_gracefully()
+        elif not self.has_sent_valid_command:
+            self.node.loop.call_later(0, self._abort_if_no_valid_command)
+
+    def _abort_if_no_valid_command(self) -> None:
+        if not (self.has_sent_valid_command or self.closing):
+            self.abort()
+
+    def reject_incomplete(self) -> None:
+        """Reject an incomplete command with an error.
+
+        Guards against a partial command, or a line that never ends, holding the connection open.
+        """
+        self._reject("the command did not come whole in time")
+        self.buffer = b""
+        self._update_reading()
+        self.answer_pending_requests()  # the error is due now, but has to follow their replies
+
+    def abort_unless_reading(self) -> None:
+        """Abort a connection that is being closed, unless the client is still reading its replies."""
+        unsent_bytes = count_unsent_bytes(self.transport)
+        if not unsent_bytes or unsent_bytes >= self.unsent_bytes:
+            return self.abort()
+        self.unsent_bytes = unsent_bytes
+        self.timeouts.enter(self.timeouts.lingering, self)
+
+    def check_write_progress(self) -> None:
+        """Abort the connection if the client has read nothing since the last check; a slow client stays."""
+        unsent_bytes = count_unsent_bytes(self.transport)
+        if unsent_bytes >= self.unsent_bytes:
+            return self.abort()
+        self.unsent_bytes = unsent_bytes
+        self.timeouts.enter(self.timeouts.write_stalled, self)
+
+    def answer_pending_requests(self) -> None:
+        """Give the open requests their final replies now.
+
+        Guards against an error waiting for a long time behind open requests.
+        """
+        for entry in list(self.pending):
+            if isinstance(entry, Request) and not entry.is_finished and not entry.is_streaming():
+                self.node.end_request_now(entry)
+
+    # Closing.
+
+    def close_if_idle(self) -> None:
+        """Close the connection between requests; a partly received command, read or not, is served first."""
+        if self.pending or self.buffer or self.body is not None:
+            return
+        if not (self.closing or self.transport.is_closing() or self.has_unread_input()):
+            self._close_gracefully()
+
+    def _close_gracefully(self) -> None:
+        """Close between requests: immediately if the client's machine has all replies, otherwise once it has.
+
+        Guards against bytes from the client that arrive during the close. They turn it into a reset, which
+        drops the replies that have not left this machine yet.
+        """
+        if not count_unsent_bytes(self.transport):
+            return self.transport.close()
+        self.closing = self.reading_ended = True
+        self._update_reading()
+        self._close_write_side()
+
+    def _end_after_cut_value(self) -> None:
+        """Close after a part of a long value, once the client's machine has what was sent before."""
+        self.pending.clear()
+        self._close_gracefully()
+
+    def _close_write_side(self) -> None:
+        """Half-close the connection; the client has some time to read the replies already written."""
+        self.transport.write_eof()
+        self.unsent_bytes = sys.maxsize
+        self.timeouts.idle.pop(self, None)
+        self.timeouts.enter(self.timeouts.lingering, self)
+
+    def is_evictable(self) -> bool:
+        """Return whether a connection without open requests may be closed immediately.
+
+        It may not while replies are in transit, or while there is unread input that is still to be served.
+        """
+        return not (count_unsent_bytes(self.transport) or (self.has_unread_input() and not self.closing))
+
+    def has_unread_input(self) -> bool:
+        """Return whether bytes of the client, or its end of stream, wait in the socket buffer."""
+        return not self.transport.is_closing() and bool(self.input_poll.poll(0))
+
+    def is_connected(self) -> bool:
+        """Return whether the client is still connected; if it is not, end its requests.
+
+        Called before each attempt. Guards against attempts that begin after the client has hung up but
+        before the event loop reads its end of stream: for commands in our buffers, after any wait, or when
+        the loop is late.
+        """
+        if self.transport.is_closing():
+            self._drop_requests()  # aborted, or broken and not reported by the event loop yet
+        elif self.hangup_poll.poll(0):
+            self._on_hangup()
+        return not self.transport.is_closing()
+
+    def _check_liveness(self) -> None:
+        """Detect a client that has hung up while reading is paused, when its end of stream is not read."""
+        if self.is_connected():
+            self._note_unread()
+            self.liveness_timer = self.node.loop.call_later(LIVENESS_CHECK_INTERVAL_S, self._check_liveness)
+
+    def _note_unread(self) -> None:
+        """Record bytes that arrive while reading is paused: the time limits of their commands have begun."""
+        self.arrivals.note_unread(count_unread_bytes(self.transport), self.node.clock.now())
+
+    def _cancel_liveness_timer(self) -> None:
+        if self.liveness_timer is not None:
+            self.liveness_timer.cancel()
+            self.liveness_timer = None
+
+    def _on_hangup(self) -> None:
+        """Abort the connection of a client that has left; replies that it has not read are dropped."""
+        self.closing = True
+        self._cancel_liveness_timer()
+        self.transport.abort()
+        self._drop_requests()
+
+    def _drop_requests(self) -> None:
+        pending, self.pending = self.pending, deque()
+        for entry in pending:
+            if isinstance(entry, Request):
+                self.node.abandon_request(entry)
+                self._discard_value(entry)
+        self._release_sent_values()
+
+    def eof_received(self) -> None:
+        """Handle the client's end of stream immediately, without waiting for pending writes."""
+        self._on_hangup()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Free all state of the connection, and report the end of its requests to the decision module."""
+        self._on_hangup()
+        self.owner.on_closed(self)
--- a/rainturn/node/client_listener.py
+++ b/rainturn/node/client_listener.py
@@ -9,6 +9,7 @@
 import logging
 import socket
 
+from rainturn.node.client_closing import ClosingConnection
 from rainturn.node.client_commands import CommandParser
 from rainturn.node.client_connection import ClientConnection
 from rainturn.node.client_timeouts import ConnectionTimeouts
@@ -46,8 +47,8 @@
         self.max_held_bytes = int(memory_mb * COMMAND_MEMORY_SHARE * (1 << 20))
         self.value_memory = ValueMemory(int(memory_mb * VALUE_MEMORY_SHARE * (1 << 20)))
         self.parser = CommandParser(node, names)
-        self.timeouts: ConnectionTimeouts[ClientConnection] = ConnectionTimeouts(node.loop)
-        self.connections: set[ClientConnection] = set()
+        self.timeouts: ConnectionTimeouts[ClosingConnection] = ConnectionTimeouts(node.loop)
+        self.connections: set[ClosingConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.accepting = False
@@ -123,7 +124,7 @@
         task.add_done_callback(self.tasks.discard)
         return AcceptResult.DONE
 
-    async def _attach(self, connection: ClientConnection, sock: socket.socket) -> None:
+    async def _attach(self, connection: ClosingConnection, sock: socket.socket) -> None:
         """Attach an accepted socket to its connection object."""
         try:
             await self.node.loop.connect_accepted_socket(lambda: connection, sock)
@@ -140,20 +141,20 @@
             len(node.requests) < self.max_open and node.held_bytes + request.held_bytes <= self.max_held_bytes
         )
 
-    def on_idle(self, connection: ClientConnection) -> None:
+    def on_idle(self, connection: ClosingConnection) -> None:
         """Record that all requests of a client are answered, so that it may be evicted for a new one."""
         self.timeouts.idle.pop(connection, None)
         self.timeouts.enter(self.timeouts.idle, connection)  # at the end, as the most recently active
         self._resume_accepting()
 
-    def on_closed(self, connection: ClientConnection) -> None:
+    def on_closed(self, connection: ClosingConnection) -> None:
         """Remove a closed connection, and accept new ones again."""
         self._forget(connection)
         if self.all_closed is not None and not self.connections:
             self.all_closed.set()
         self._resume_accepting()
 
-    def _forget(self, connection: ClientConnection) -> None:
+    def _forget(self, connection: ClosingConnection) -> None:
         self.connections.discard(connection)
         self.timeouts.forget(connection)
 
--- a/tests/test_hedged_values.py
+++ b/tests/test_hedged_values.py
@@ -3,41 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-import hiredis
 import pytest
 
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.host_pools import NO_ADDRESS
 from rainturn.node.requests import ValueTransfer
 from tests.sockets import DEFAULT_SETTINGS, Client, GatewaySetup, reset, run, success_answer, with_timeout
-from tests.test_long_values import BEGINNING, VALUE
+from tests.test_long_values import BEGINNING, VALUE, LongValueHost
 from tests.test_node_hosts import add_attempt
 
 
-class ManualHost:
-    """Passes each attempt that arrives to the test, which writes the answer."""
+class ManualHost(LongValueHost):
+    """Passes each attempt at a long value to the test, which writes the answer."""
 
     def __init__(self, attempts: asyncio.Queue[asyncio.StreamWriter]) -> None:
         self.attempts = attempts
 
-    async def start(self) -> asyncio.Server:
-        return await asyncio.start_server(self._serve, "127.0.0.1", 0)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = hiredis.Reader(notEnoughData=Ellipsis)
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            while data := await reader.read(1 << 16):
-                parser.feed(data)
-                while (words := parser.gets()) is not ...:
-                    if words[2] == b"long":
-                        self.attempts.put_nowait(writer)
-                    else:
-                        writer.write(success_answer())
-        writer.transport.abort()
+    async def answer(self, writer: asyncio.StreamWriter) -> None:
+        self.attempts.put_nowait(writer)
 
 
 class HedgedRequest(NamedTuple):
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -42,14 +42,8 @@
     NO_PROGRESS = "no progress"
 
 
-class BreakingHost:
-    """Serves at once, but begins the first `times` long values only and then lets them end in a given way."""
-
-    def __init__(self, ending: Ending, times: int) -> None:
-        self.ending, self.times = ending, times
-        self.began = asyncio.Event()  # a long value has begun
-        self.may_end = asyncio.Event()
-        self.runs: list[bytes] = []  # the ids of the requests that have begun
+class LongValueHost:
+    """A host that serves at once, but leaves the requests whose id begins with `long` to `answer`."""
 
     async def start(self) -> asyncio.Server:
         return await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -60,16 +54,36 @@
             while data := await reader.read(1 << 16):
                 parser.feed(data)
                 while (words := parser.gets()) is not ...:
-                    self.runs.append(words[2])
-                    if not words[2].startswith(b"long"):
-                        writer.write(success_answer())
-                    elif not self.times:
-                        writer.write(success_answer(VALUE))
-                    else:
-                        await self._break_off(writer)
+                    await self._run(words[2], writer)
         writer.transport.abort()
 
-    async def _break_off(self, writer: asyncio.StreamWriter) -> None:
+    async def _run(self, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+        if request_id.startswith(b"long"):
+            await self.answer(writer)
+        else:
+            writer.write(success_answer())
+
+    async def answer(self, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+
+class BreakingHost(LongValueHost):
+    """Begins the first `times` long values only, and then lets them end in a given way."""
+
+    def __init__(self, ending: Ending, times: int) -> None:
+        self.ending, self.times = ending, times
+        self.began = asyncio.Event()  # a long value has begun
+        self.may_end = asyncio.Event()
+        self.runs: list[bytes] = []  # the ids of the requests that have begun
+
+    async def _run(self, request_id: bytes, writer: asyncio.StreamWriter) -> None:
+        self.runs.append(request_id)
+        await super()._run(request_id, writer)
+
+    async def answer(self, writer: asyncio.StreamWriter) -> None:
+        if not self.times:
+            writer.write(success_answer(VALUE))
+            return
         self.times -= 1
         writer.write(BEGINNING)
         self.began.set()
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -15,6 +15,7 @@
 from rainturn.counts import units_name
 from rainturn.decisions import quota
 from rainturn.node import client_commands, client_connection, client_timeouts
+from rainturn.node.client_closing import ClosingConnection
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.requests import Attempt
 from rainturn.node.resp import encode_array
@@ -375,7 +376,7 @@
     run(main())
 
 
-async def _wait_for_connections(setup: GatewaySetup) -> list[client_connection.ClientConnection]:
+async def _wait_for_connections(setup: GatewaySetup) -> list[ClosingConnection]:
     while not setup.parts.clients.connections:
         await asyncio.sleep(0)
     return list(setup.parts.clients.connections)
