--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -330,21 +330,7 @@
             attempt.timer.cancel()
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.NOT_SENT):
             request.may_have_run = True
-        is_withdrawn = False
-        if request.is_finished:
-            pass
-        elif request.is_fed_by(attempt):
-            if outcome is it.Outcome.OK:
-                request.transfer = None
-                self._finish_request(request, Ending.PASSED)
-                request.client.end_value(request)
-            else:
-                self._withdraw_value(request)
-                is_withdrawn = not request.is_finished
-        elif outcome is it.Outcome.OK and not request.is_streaming():
-            self._withdraw_value(request)  # of another attempt, which the client has got nothing of
-            self._finish_request(request, Ending.PASSED)
-            request.client.send_value(request, value)
+        is_withdrawn = self._pass_on_end(attempt, outcome, value)
         elapsed = max(0.0, self.clock.now() - attempt.started_at)
         body_consumed = request.body is not None and request.body.was_forwarded
         self.dispatch(
@@ -360,6 +346,24 @@
             )
         )
 
+    def _pass_on_end(self, attempt: Attempt, outcome: it.Outcome, value: bytes) -> bool:
+        """Send the client what the end of an attempt gives; return whether its long value was withdrawn."""
+        request = attempt.request
+        if request.is_finished:
+            return False
+        if request.is_fed_by(attempt):
+            if outcome is not it.Outcome.OK:
+                self._withdraw_value(request)
+                return not request.is_finished
+            request.transfer = None
+            self._finish_request(request, Ending.PASSED)
+            request.client.end_value(request)
+        elif outcome is it.Outcome.OK and not request.is_streaming():
+            self._withdraw_value(request)  # of another attempt, which the client has got nothing of
+            self._finish_request(request, Ending.PASSED)
+            request.client.send_value(request, value)
+        return False
+
     # Timers.
 
     def _set_timer(self, action: it.SetTimer, now: float) -> None:
