--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,55 +1,65 @@
-"""Discovery answers each call, but slowly: does a gateway hear of a drain?"""
+"""A client reads a long value slowly, in pieces: does it get the whole value?"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import socket
 from pathlib import Path
 
-from standins2 import Agent, Client, Counter, Gateway, Host, Record, request, run_case, settings
+from standins2 import Agent, Counter, Gateway, Host, Record, request, run_case, served, settings
 
 HERE = Path(__file__).resolve().parent
-SLOW_S = 1.8  # each answer is this late; the protocol page counts on 2 s at most
-TOLD_S = 6.0  # a change counts as told this long after discovery has it
-GRACE_S = 1.0 + 0.05  # rules.drain_grace_ms, and 50 ms for sockets
-SOONEST_S, WATCHED_S = 5.0, 15.0
+VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB
+RECEIVE_BUFFER, PIECE, PAUSE_S = 200_000, 1 << 18, 2.5  # the client reads what has come every 2.5 s
+READERS = 6
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> list[str]:
-    """Drain the host that gets most while all answers of discovery are slow."""
-    hosts = [await Host(record, f"h{n}").start() for n in range(9)]
+    """Let some clients read one value each, on a connection that carries nothing else."""
+
+    async def behave(host: Host, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.05)
+        writer.write(served(VALUE))
+        await writer.drain()
+
+    hosts = [await Host(record, f"h{n}", behave).start() for n in range(9)]
     counter, agent = await Counter(record).start(), await Agent(record, *hosts).start()
-    gateway, stopping = Gateway(record, folder), False
+    gateway, loop, broken = Gateway(record, folder), asyncio.get_running_loop(), list[str]()
+    whole = b"$%d\r\n" % len(VALUE) + VALUE + b"\r\n"
 
-    async def user(number: int) -> None:
-        client, turn = await Client.connect(gateway.address), 0
-        while not stopping:
-            turn += 1
-            with contextlib.suppress(EOFError):
-                await client.send(request(b"u%d-%d" % (number, turn), customer=100 + number))
-                await client.answer(4)
-            await asyncio.sleep(0.1)
+    async def reader(number: int) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, gateway.address)
+        await loop.sock_sendall(sock, request(b"long-%d" % number, customer=100 + number))
+        started, got, reads, end = record.now(), bytearray(), 0, "read"
+        try:
+            while len(got) < len(whole) and whole.startswith(bytes(got[-16:]), max(0, len(got) - 16)):
+                data = await loop.sock_recv(sock, PIECE)
+                if not data:
+                    end = "closed by the gateway"
+                    break
+                got += data
+                reads += 1
+                if trouble:
+                    await asyncio.sleep(PAUSE_S)
+        except OSError as error:
+            end = f"ended: {error}"
+        loop.remove_reader(sock)
+        sock.close()
+        took = record.now() - started
+        text = (
+            f"client {number}: {end} after {took:.1f} s and {reads} reads, {len(got)} of {len(whole)} bytes"
+        )
+        record.note(text)
+        if end != "read":
+            broken.append(text)
 
     try:
-        await gateway.start(agent, counter, settings(discovery="ask"))
-        users = [asyncio.ensure_future(user(number)) for number in range(4)]
-        await asyncio.sleep(2)
-        agent.delay_s = SLOW_S if trouble else 0.0
-        record.note(f"from now on discovery answers {agent.delay_s} s late")
-        await asyncio.sleep(SOONEST_S)
-        draining = max(hosts, key=lambda host: len(host.begun))
-        agent.change(draining.entry("terminating"))
-        changed = record.now()
-        await asyncio.sleep(WATCHED_S)
-        stopping = True
-        await asyncio.gather(*users)
-        sent = [begun - changed for begun, _ in draining.begun if begun > changed]
-        late = [after for after in sent if after > TOLD_S + GRACE_S]
-        last = f"the last {max(sent):.1f} s" if sent else "none"
-        record.note(f"attempts to {draining.name} after discovery had its drain: {len(sent)}, {last}")
-        return (
-            [f"{len(late)} attempts to {draining.name}, {last} after discovery had its drain"] if late else []
-        )
+        await gateway.start(agent, counter, settings())
+        await asyncio.gather(*(reader(number) for number in range(READERS)))
+        return broken
     finally:
         await gateway.end()
 
