review 7 and 8: bodies of 0.2 to 0.6 MB, stand-in hosts that hold little

Case 7 covers more sizes, so that it depends less on the system's buffers; the hosts of case 8 write their values in pieces; a script that is told to end ends its gateway too.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> list[str]:
-    """Fill a customer's two slots; a third request, with a body of 0.3 MB, then waits for one of them."""
+    """Fill a customer's two slots; a third request, with a long body, then waits for one of them."""
 
     async def behave(host: Host, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(WORK_S)
@@ -32,7 +32,7 @@
                 await other.send(request(b"sign-%d-%d" % (turn, number), "sign", 6000, customer, "spolek"))
             await asyncio.sleep(0.05)
             client = await Client.connect(gateway.address)
-            body = b"x" * (280_000 + 10_000 * turn)
+            body = b"x" * (200_000 + 40_000 * turn)
             sending = asyncio.ensure_future(
                 client.send(request(name, "donate", 3000, customer, "spolek", body))
             )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,8 @@
 MEMORY_MB, DESCRIPTORS = 80, 1024  # of 32 to 192 MB and 256 to 1,024 descriptors
 READERS = 300  # of at most a third of the descriptors
 PER_SECOND = 77  # what the gateways are offered
-VALUE = (b"0123456789abcdef" * (1 << 18))[: 4 << 20]
+VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB
+LONG_ANSWER = served(VALUE)
 PIECE, PAUSE_S = 16384, 0.5
 
 
@@ -31,8 +32,10 @@
 
     async def behave(host: Host, words: list[bytes], writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(0.05)
-        writer.write(served(VALUE if words[2].startswith(b"long") else b"value-of-" + words[2]))
-        await writer.drain()
+        answer = LONG_ANSWER if words[2].startswith(b"long") else served(b"value-of-" + words[2])
+        for start in range(0, len(answer), 1 << 16):
+            writer.write(answer[start : start + (1 << 16)])
+            await writer.drain()  # so that this process holds little of what the gateway does not take
 
     hosts = [await Host(record, f"h{n}", behave).start() for n in range(12)]
     counter, agent = await Counter(record).start(), await Agent(record, *hosts).start()
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -524,12 +524,13 @@
     temporary = Path(tempfile.mkdtemp(prefix="rainturn-review-"))
     record.note(f"trouble: {trouble}")
     status = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the gateway is ended in any case
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), limit_s))
         for line in broken:
             record.note(f"BROKEN: {line}")
         status = BROKEN if broken else HELD
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.note(f"the case could not run: {error!r}")
     finally:
         record.note(f"exit {status}")
