Review: each case names its record.txt, which is written line by line

The records were written by the shared stand-ins, at the end of a run only. A run that is killed, or that finds no build, leaves a record now too.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,7 +8,7 @@
 
 from standins2 import Agent, Counter, Gateway, Host, Record, request, run_case, served, settings
 
-HERE = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB
 CHARGED = b"$7\r\ncharged\r\n"
 PIECE, EVERY_S = 30_000, 0.1  # the client reads 0.3 MB a second
@@ -81,4 +81,4 @@
         await gateway.end()
 
 
-run_case(case, HERE)
+run_case(case, RECORD)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 
 from standins2 import Agent, Client, Counter, Gateway, Host, Record, request, run_case, served, settings
 
-HERE = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 GONE_S = 0.1  # an attempt that begins later than this after the close breaks the rule
 ROUNDS = 10
 WORK_S = 0.5
@@ -64,4 +64,4 @@
         await gateway.end()
 
 
-run_case(case, HERE)
+run_case(case, RECORD)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,7 @@
 
 from standins2 import Agent, Client, Counter, Gateway, Host, Record, request, run_case, served, settings
 
-HERE = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 MEMORY_MB, DESCRIPTORS = 80, 1024  # of 32 to 192 MB and 256 to 1,024 descriptors
 READERS = 300  # of at most a third of the descriptors
 PER_SECOND = 77  # what the gateways are offered
@@ -113,4 +113,4 @@
         await gateway.end()
 
 
-run_case(case, HERE)
+run_case(case, RECORD)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,7 +8,7 @@
 
 from standins2 import Agent, Counter, Gateway, Host, Record, request, run_case, served, settings
 
-HERE = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB
 RECEIVE_BUFFER, PIECE, PAUSE_S = 200_000, 1 << 18, 2.5  # the client reads what has come every 2.5 s
 READERS = 6
@@ -64,4 +64,4 @@
         await gateway.end()
 
 
-run_case(case, HERE)
+run_case(case, RECORD)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -144,10 +144,13 @@
 
 
 class Record:
-    """The record of a run: what was sent, answered and run, with the time since the start in seconds."""
+    """The record of a run: what was sent, answered and run, with the time since the start in seconds.
 
-    def __init__(self, folder: Path) -> None:
-        self.path, self.started = folder / "record.txt", time.monotonic()
+    Each line is in the file as soon as it is noted, so that a run that is killed leaves its record too.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.file, self.started = path.open("w", buffering=1), time.monotonic()
         self.lines: list[str] = []
 
     def now(self) -> float:
@@ -157,10 +160,11 @@
     def note(self, text: str) -> None:
         """Add a line."""
         self.lines.append(f"{self.now():8.3f} {text}")
+        self.file.write(self.lines[-1] + "\n")
 
     def close(self) -> None:
-        """Write the file."""
-        self.path.write_text("\n".join(self.lines) + "\n")
+        """Close the file."""
+        self.file.close()
 
 
 def encode(*words: bytes) -> bytes:
@@ -515,12 +519,12 @@
 Case = Callable[[Record, Path, bool], Awaitable[list[str]]]
 
 
-def run_case(case: Case, folder: Path, limit_s: float = 115.0) -> None:
+def run_case(case: Case, record_path: Path, limit_s: float = 115.0) -> None:
     """Run a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
     The case gets the record, a temporary folder and whether there is trouble, and returns what was broken.
     """
-    record, trouble = Record(folder), os.environ.get("TROUBLE", "1") != "0"
+    record, trouble = Record(record_path), os.environ.get("TROUBLE", "1") != "0"
     temporary = Path(tempfile.mkdtemp(prefix="rainturn-review-"))
     record.note(f"trouble: {trouble}")
     status = COULD_NOT_RUN
