A client that reads all the time keeps its connection, whatever is written meanwhile

Cause: the check compared the unsent bytes with those at the moment when the write buffer became full. Replies written after that hid what the client had taken. The check of uploads to a host compared likewise.

Change: SendProgress counts the bytes that the peer has acknowledged: those written less those unsent. The limit of 10 s is now 30 s: a machine acknowledges in steps of its receive window, which a slow reader fills for longer than 10 s (64 KB at 6 KB a second on this network).

--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import select
-import sys
 from collections import deque
 from typing import Protocol, cast
 
@@ -49,7 +48,6 @@
         self.buffer = b""  # bytes of commands that are incomplete or not parsed yet
         self.arrivals = ArrivalTimes()
         self.body: Body | None = None  # of the command that is being received
-        self.unsent_bytes = 0  # bytes that the client had not received at the last check
         self.has_sent_valid_command = False
         self.reading_paused = False
         self.reading_ended = False  # whether the connection closes as soon as the client has its replies
@@ -91,6 +89,12 @@
         elif not self.has_sent_valid_command:
             self.node.loop.call_later(0, self._abort_if_no_valid_command)
 
+    def _watch_write_progress(self) -> None:
+        """Abort the connection unless the client takes bytes from now on."""
+        if self not in self.timeouts.write_stalled:
+            self.send_progress.has_advanced(self.transport)  # what it has taken before does not count
+            self.timeouts.enter(self.timeouts.write_stalled, self)
+
     def _abort_if_no_valid_command(self) -> None:
         if not (self.has_sent_valid_command or self.closing):
             self.abort()
@@ -107,18 +111,16 @@
 
     def abort_unless_reading(self) -> None:
         """Abort a connection that is being closed, unless the client is still reading its replies."""
-        unsent_bytes = count_unsent_bytes(self.transport)
-        if not unsent_bytes or unsent_bytes >= self.unsent_bytes:
+        if not (count_unsent_bytes(self.transport) and self.send_progress.has_advanced(self.transport)):
             return self.abort()
-        self.unsent_bytes = unsent_bytes
         self.timeouts.enter(self.timeouts.lingering, self)
 
     def check_write_progress(self) -> None:
         """Abort the connection if the client has read nothing since the last check; a slow client stays."""
-        unsent_bytes = count_unsent_bytes(self.transport)
-        if unsent_bytes >= self.unsent_bytes:
+        if not count_unsent_bytes(self.transport):
+            return
+        if not self.send_progress.has_advanced(self.transport):
             return self.abort()
-        self.unsent_bytes = unsent_bytes
         self.timeouts.enter(self.timeouts.write_stalled, self)
 
     def answer_pending_requests(self) -> None:
@@ -159,7 +161,6 @@
     def _close_write_side(self) -> None:
         """Half-close the connection; the client has some time to read the replies already written."""
         self.transport.write_eof()
-        self.unsent_bytes = sys.maxsize
         self.timeouts.idle.pop(self, None)
         self.timeouts.enter(self.timeouts.lingering, self)
 
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -10,7 +10,7 @@
 from rainturn.node.client_commands import REQUEST_VERBS, MalformedCommand
 from rainturn.node.metrics import Ending
 from rainturn.node.requests import Request
-from rainturn.node.resp import ProtocolError, count_unsent_bytes, parse_command
+from rainturn.node.resp import ProtocolError, parse_command
 
 MAX_ERRORS = 8  # invalid commands on one connection; one more closes it
 MAX_PENDING = 32  # unanswered commands per connection; further input stays unread
@@ -292,8 +292,7 @@
     def pause_writing(self) -> None:
         """Handle a full write buffer: the client leaves replies unread."""
         self.writing_paused = True
-        self.unsent_bytes = count_unsent_bytes(self.transport)
-        self.timeouts.enter(self.timeouts.write_stalled, self)
+        self._watch_write_progress()
         self._update_reading()
 
     def resume_writing(self) -> None:
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -8,6 +8,7 @@
 
 from rainturn.node.gateway import Clock
 from rainturn.node.requests import Request
+from rainturn.node.send_progress import SendProgress
 from rainturn.node.value_memory import ValueMemory
 
 FAILURE_REPLY = b"-ERR failed\r\n"
@@ -36,6 +37,7 @@
         self.pending: deque[Request | QueuedReply] = deque()  # unanswered commands in order
         self.closing = False  # whether input is ignored and the connection ends after the last reply
         self.writing_paused = False  # whether the write buffer is full: the client leaves replies unread
+        self.send_progress = SendProgress()
         self.unsent_reserved_bytes = 0  # reserved for whole values in the write buffer
 
     def send_value(self, request: Request, value: bytes) -> None:
@@ -138,6 +140,7 @@
             return
         if self.transport.is_closing():
             return self._release_sent_values()
+        self.send_progress.note_written(sum(map(len, ready)))
         if self.unsent_reserved_bytes:
             self.transport.writelines(ready)  # joining whole values would take their memory a second time
         else:
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -14,7 +14,8 @@
 BODY_STALL_TIMEOUT_S = 2.0  # how long the body of a command may make no progress
 QUEUED_ERROR_TIMEOUT_S = 2.0  # how long an error may wait behind open requests
 IDLE_TIMEOUT_S = 6.0  # how long a client may be idle
-WRITE_STALL_TIMEOUT_S = 10.0  # how long a client may read none of its replies
+# How long a client may acknowledge none of its replies; its machine does so in steps of its receive window.
+WRITE_STALL_TIMEOUT_S = 30.0
 LINGER_TIMEOUT_S = 1.0  # how long a client may take to read why its connection is closed
 
 
@@ -70,7 +71,7 @@
         self.uploading: dict[ConnectionT, float] = {}  # more of a body is due; timed from its last piece
         self.error_queued: dict[ConnectionT, float] = {}  # an error waits behind its open requests
         self.lingering: dict[ConnectionT, float] = {}  # write side is closed; the client may read the rest
-        self.write_stalled: dict[ConnectionT, float] = {}  # write buffer is full of unread replies
+        self.write_stalled: dict[ConnectionT, float] = {}  # its replies are being taken slowly, or not at all
         self.states = (
             self.awaiting_valid_command,
             self.idle,
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -15,11 +15,11 @@
     OutgoingConnection,
     ProtocolError,
     check_fields,
-    count_unsent_bytes,
     encode_array,
     end_sending,
     parse_answer,
 )
+from rainturn.node.send_progress import SendProgress
 
 STALL_LIMIT_S = 0.5  # longest pause between two pieces of an answer that is buffered whole
 VALUE_STALL_LIMIT_S = 4.0  # longest pause between two pieces of a long value, which is streamed to the client
@@ -72,7 +72,7 @@
         self.input_poll = select.poll()  # detects input that the event loop has not read yet
         self.stall_timer: asyncio.TimerHandle | None = None  # runs while the host has to send or accept bytes
         self.uploading = False  # whether part of a streamed body still has to be sent
-        self.upload_backlog = 0  # unsent bytes at the last check
+        self.send_progress = SendProgress()
         self.value_bytes_left: int | None = None  # remaining bytes of a streamed value
         self.fields_after_value = 0  # number of fields that follow the streamed value
         self.fields_expected: int | None = None  # number of fields after a complete value; None before that
@@ -98,7 +98,7 @@
         self.attempt, attempt.connection = attempt, self
         body = attempt.request.body
         self.uploading = body is not None
-        self.transport.write(encode_command(attempt, now))
+        self._write(encode_command(attempt, now))
         if body is None:
             self._count_sent()
         else:
@@ -107,7 +107,11 @@
     def send_body_piece(self, data: bytes) -> None:
         """Send a piece of the body."""
         if not self.closed:
-            self.transport.write(data)
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        self.send_progress.note_written(len(data))
+        self.transport.write(data)
 
     def end_body(self) -> None:
         """End the command after its body.
@@ -117,7 +121,7 @@
         if self.closed or self.attempt is None:
             return
         self.uploading = False
-        self.transport.write(b"\r\n")
+        self._write(b"\r\n")
         self.attempt.started_at = self.pool.node.clock.now()
         self._count_sent()
 
@@ -129,13 +133,12 @@
         """Note that bytes wait to be sent; during an upload, start the check that the host accepts bytes."""
         super().pause_writing()
         if self.uploading:
-            self._check_upload(first=True)
+            self.send_progress.has_advanced(self.transport)  # what it has taken before does not count
+            self._set_stall_timer(UPLOAD_STALL_LIMIT_S, self._check_upload)
 
-    def _check_upload(self, first: bool = False) -> None:
-        backlog = count_unsent_bytes(self.transport)
-        if not first and backlog >= self.upload_backlog:
+    def _check_upload(self) -> None:
+        if not self.send_progress.has_advanced(self.transport):
             return self.close(it.Outcome.UNREACHABLE)  # an incomplete command never runs
-        self.upload_backlog = backlog
         self._set_stall_timer(UPLOAD_STALL_LIMIT_S, self._check_upload)
 
     def resume_writing(self) -> None:
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,118 @@
+"""Clients that take their replies slowly keep their connection for as long as they take any."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from rainturn.node.client_closing import ClosingConnection
+from rainturn.node.resp import count_unsent_bytes, encode_array
+from tests.sockets import TIMEOUT_S, GatewaySetup, run, success_answer, with_timeout
+
+LONG_VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB, more than the buffers of the system hold
+RECEIVE_BUFFER = 1 << 16  # bytes that the client's machine accepts before the client reads
+FIELDS = b"c=read,t=basic,d=5000,units=1,spread=1,first=0"
+
+
+def encode_read(request_id: bytes) -> bytes:
+    return encode_array([b"API.READ", b"00000000b4d65521", request_id, FIELDS])
+
+
+def encoded_value(value: bytes) -> bytes:
+    return b"$%d\r\n%s\r\n" % (len(value), value)
+
+
+class SlowReader:
+    """A client that reads only what it is told to read."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    @classmethod
+    async def connect(cls, setup: GatewaySetup) -> SlowReader:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, setup.address)
+        return cls(sock)
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.sock, data)
+
+    async def read(self, count: int) -> bytes:
+        """Read `count` bytes, or fewer if the connection ends."""
+        data = bytearray()
+        while len(data) < count:
+            piece = await with_timeout(asyncio.get_running_loop().sock_recv(self.sock, count - len(data)))
+            if not piece:
+                break
+            data += piece
+        return bytes(data)
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    end = asyncio.get_running_loop().time() + TIMEOUT_S
+    while not condition():
+        assert asyncio.get_running_loop().time() < end
+        await asyncio.sleep(0.001)
+
+
+async def _only_connection(setup: GatewaySetup) -> ClosingConnection:
+    await _wait_until(lambda: len(setup.parts.clients.connections) == 1)
+    (connection,) = setup.parts.clients.connections
+    return connection
+
+
+def _is_open(connection: ClosingConnection) -> bool:
+    return not connection.transport.is_closing()
+
+
+def test_a_client_that_reads_stays_although_more_replies_are_written_than_it_reads() -> None:
+    """Guards against new replies that hide what the client has read: its connection was aborted."""
+
+    async def main() -> None:
+        released = asyncio.Event()
+
+        async def answer_in_two_parts(words: list[bytes]) -> bytes:
+            if words[2] == b"late":
+                await released.wait()
+            return success_answer(LONG_VALUE)
+
+        async with GatewaySetup(answer_in_two_parts) as setup:
+            client = await SlowReader.connect(setup)
+            await client.send(encode_read(b"first") + encode_read(b"second") + encode_read(b"late"))
+            connection = await _only_connection(setup)
+            await _wait_until(lambda: connection.writing_paused and bool(connection.pending))
+            await _wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
+            unsent_bytes = count_unsent_bytes(connection.transport)
+            whole = encoded_value(LONG_VALUE) * 3
+            data = await client.read(1 << 20)
+            released.set()
+            await _wait_until(
+                lambda: not connection.pending or count_unsent_bytes(connection.transport) >= unsent_bytes
+            )
+            connection.check_write_progress()
+            assert _is_open(connection)
+            data += await client.read(len(whole) - len(data))
+            assert data == whole
+            client.sock.close()
+
+    run(main())
+
+
+def test_a_client_that_takes_none_of_its_replies_is_disconnected() -> None:
+    """The counterpart of the test above: no bytes taken between two checks end the connection."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer(LONG_VALUE)) as setup:
+            client = await SlowReader.connect(setup)
+            await client.send(encode_read(b"first"))
+            connection = await _only_connection(setup)
+            await _wait_until(lambda: connection.writing_paused)
+            await _wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
+            connection.check_write_progress()
+            assert not _is_open(connection)
+            client.sock.close()
+
+    run(main())
