A connection is neither idle nor abandoned while its client has replies to take

Cause: a connection counted as idle once its last piece was in the write buffer, so the idle limit (6 s) half-closed it over unsent bytes; 1 s later it was aborted if the client had taken nothing within that second.

Change: an idle connection with unsent replies stays, watched by the limit on stalled writes. A connection that is being closed is aborted at the linger limit only if its client's machine has all replies.

--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -84,11 +84,18 @@
         run before sockets are read. After the next read, a client that has sent a valid command counts as
         idle again; any other client must have sent one by then.
         """
-        if not self.has_unread_input():
+        if self.has_sent_valid_command and count_unsent_bytes(self.transport):
+            self._await_unsent_replies()
+        elif not self.has_unread_input():
             self._close_gracefully()
         elif not self.has_sent_valid_command:
             self.node.loop.call_later(0, self._abort_if_no_valid_command)
 
+    def _await_unsent_replies(self) -> None:
+        """Keep an idle connection open while its client still takes the last replies."""
+        self.timeouts.enter(self.timeouts.idle, self)
+        self._watch_write_progress()
+
     def _watch_write_progress(self) -> None:
         """Abort the connection unless the client takes bytes from now on."""
         if self not in self.timeouts.write_stalled:
@@ -109,11 +116,12 @@
         self._update_reading()
         self.answer_pending_requests()  # the error is due now, but has to follow their replies
 
-    def abort_unless_reading(self) -> None:
-        """Abort a connection that is being closed, unless the client is still reading its replies."""
-        if not (count_unsent_bytes(self.transport) and self.send_progress.has_advanced(self.transport)):
+    def abort_if_replies_sent(self) -> None:
+        """Abort a connection that is being closed, unless the client has still to take replies."""
+        if not count_unsent_bytes(self.transport):
             return self.abort()
         self.timeouts.enter(self.timeouts.lingering, self)
+        self._watch_write_progress()
 
     def check_write_progress(self) -> None:
         """Abort the connection if the client has read nothing since the last check; a slow client stays."""
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -16,7 +16,7 @@
 IDLE_TIMEOUT_S = 6.0  # how long a client may be idle
 # How long a client may acknowledge none of its replies; its machine does so in steps of its receive window.
 WRITE_STALL_TIMEOUT_S = 30.0
-LINGER_TIMEOUT_S = 1.0  # how long a client may take to read why its connection is closed
+LINGER_TIMEOUT_S = 1.0  # how long a client may take to close its side once it has all replies
 
 
 class TimedConnection(Protocol):
@@ -31,8 +31,8 @@
     def close_if_silent(self) -> None:
         """Close unless there is unread input."""
 
-    def abort_unless_reading(self) -> None:
-        """Abort unless the client is still reading its replies."""
+    def abort_if_replies_sent(self) -> None:
+        """Abort unless the client has still to take replies."""
 
     def reject_incomplete(self) -> None:
         """Reject a command that did not arrive completely in time."""
@@ -138,7 +138,9 @@
                 lambda connection: connection.close_if_silent(),
             ),
             TimeLimit(self.idle, IDLE_TIMEOUT_S, lambda connection: connection.close_if_silent()),
-            TimeLimit(self.lingering, LINGER_TIMEOUT_S, lambda connection: connection.abort_unless_reading()),
+            TimeLimit(
+                self.lingering, LINGER_TIMEOUT_S, lambda connection: connection.abort_if_replies_sent()
+            ),
             TimeLimit(
                 self.uploading, BODY_STALL_TIMEOUT_S, lambda connection: connection.reject_incomplete()
             ),
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -116,3 +116,56 @@
             client.sock.close()
 
     run(main())
+
+
+def test_a_connection_is_not_idle_while_its_client_has_a_reply_to_take() -> None:
+    """Guards against the idle limit ending the connection of a client that still reads its last value."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer(LONG_VALUE)) as setup:
+            client = await SlowReader.connect(setup)
+            await client.send(encode_read(b"first"))
+            connection = await _only_connection(setup)
+            whole = encoded_value(LONG_VALUE)
+            data = b""
+            while connection not in setup.parts.clients.timeouts.idle:
+                data += await client.read(10_000)
+            assert count_unsent_bytes(connection.transport)
+            connection.close_if_silent()
+            assert _is_open(connection) and not connection.closing
+            assert connection in setup.parts.clients.timeouts.idle
+            data += await client.read(len(whole) - len(data))
+            assert data == whole
+            await _wait_until(lambda: not count_unsent_bytes(connection.transport))
+            connection.close_if_silent()
+            assert not await client.read(1)
+            client.sock.close()
+
+    run(main())
+
+
+def test_a_closing_connection_waits_for_a_client_that_pauses_between_reads() -> None:
+    """Guards against a close that drops the end of a value whose client reads less than once a second."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer(LONG_VALUE)) as setup:
+            client = await SlowReader.connect(setup)
+            await client.send(encode_read(b"first"))
+            connection = await _only_connection(setup)
+            whole = encoded_value(LONG_VALUE)
+            data = b""
+            while connection not in setup.parts.clients.timeouts.idle:
+                data += await client.read(10_000)
+            setup.parts.clients.drain()
+            for _ in range(3):  # as if the limit had expired again and again
+                connection.abort_if_replies_sent()
+            assert _is_open(connection)
+            data += await client.read(len(whole) - len(data))
+            assert data == whole
+            assert not await client.read(1)
+            await _wait_until(lambda: not count_unsent_bytes(connection.transport))
+            connection.abort_if_replies_sent()
+            assert not _is_open(connection)
+            client.sock.close()
+
+    run(main())
