--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -23,6 +23,8 @@
 from rainturn.node.discovery import Discovery
 from rainturn.node.gateway import Clock, Node
 from rainturn.node.host_pools import HostPools
+from rainturn.node.input_buffer import READ_SIZE
+from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.requests import Attempt, Request
 from rainturn.settings import settings_from
 
@@ -45,7 +47,7 @@
         self.outcome_counts: Tally[str] = Tally()
         self.on_refusal: Callable[[Request], None] | None = None  # called with each request that is refused
 
-    def is_connected(self) -> bool:
+    def is_present(self) -> bool:
         """Return True: a synthetic client stays connected."""
         return True
 
@@ -63,7 +65,7 @@
         """Count a failed request."""
         self.outcome_counts["failed"] += 1
 
-    def begin_value(self, request: Request, length: int) -> bool:
+    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
         """Return True: simulated hosts send no long values."""
         return True
 
@@ -74,6 +76,10 @@
         """Return True: a synthetic client accepts every piece."""
         return True
 
+    def piece_size_limit(self, request: Request) -> int:
+        """Return the largest size: simulated hosts send no long values."""
+        return READ_SIZE
+
     def end_value(self, request: Request) -> None:
         """Do nothing: simulated hosts send no long values."""
 
@@ -131,7 +137,7 @@
         settings = settings_from(wire_settings(number, gateways))
         self.number = number
         self.rng = random.Random(seed)
-        self.node = Node(settings, seed, clock or Clock(), loop)
+        self.node = Node(settings, seed, clock or Clock(), loop, MemoryAccount(MEMORY_BYTES, loop))
         # The host list is held as in a real gateway, but no connection is opened through these pools.
         pools = HostPools(self.node, IDLE_LIMIT_MS, 0)
         self.hosts = self.node.hosts = SimulatedHosts(self.node, self.rng)
@@ -179,6 +185,7 @@
 
 
 REQUEST_BYTES = 300  # memory for the words of one request
+MEMORY_BYTES = 1 << 30  # of a hollow gateway's account; its requests hold far less
 
 
 def request_words(number: int, drawn: DrawnRequest) -> list[bytes]:
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -16,6 +16,7 @@
 from rainturn.node.discovery import Discovery
 from rainturn.node.gateway import Clock, Node
 from rainturn.node.host_pools import HostPools
+from rainturn.node.memory_account import MemoryAccount, account_limit, resident_bytes
 from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
@@ -108,19 +109,19 @@
     config: Config, descriptors: int, loop: asyncio.AbstractEventLoop, clock: Clock | None = None
 ) -> Parts:
     """Build a gateway that starts with the hosts last known, if the configuration lists any."""
-    node = Node(config.settings, config.seed, clock or Clock(), loop)
+    memory = MemoryAccount(0, loop)
+    node = Node(config.settings, config.seed, clock or Clock(), loop, memory)
     budget = max(8, descriptors - RESERVED_DESCRIPTORS - (MAX_CONNECTIONS if config.control else 0))
     pools = node.hosts = HostPools(node, config.idle_ms, int(budget * HOSTS_SHARE))
     counter = node.counter = CounterClient(node, config.counter) if config.counter else NoCounter()
-    clients = ClientListener(
-        node, config.names, budget - pools.max_connections, config.max_open, config.memory_mb
-    )
+    clients = ClientListener(node, config.names, budget - pools.max_connections, config.max_open)
     discovery = Discovery(node, pools, config.names.zones, config.discovery, config.seed)
     if config.known is not None:
         try:
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
+    memory.limit_bytes = account_limit(config.memory_mb, descriptors, resident_bytes())
     return Parts(
         node,
         pools,
--- a/rainturn/node/body.py
+++ b/rainturn/node/body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,7 +22,7 @@
 
 
 class Body:
-    """Holds the pieces of a body until a sink is attached, and passes later pieces to the sink directly."""
+    """Holds the received pieces of a body, and passes them to its sink as fast as the sink takes them."""
 
     __slots__ = (
         "arguments",
@@ -33,67 +34,78 @@
         "fully_received",
         "is_discarded",
         "was_forwarded",
-        "resume_reading",
-        "has_request",
+        "is_forwarded_whole",
+        "on_change",
+        "is_client_present",
     )
 
     def __init__(self, arguments: list[bytes], length: int) -> None:
         self.arguments, self.length, self.bytes_left = arguments, length, length
-        self.pieces: list[bytes] = []
+        self.pieces: deque[bytes] = deque()
         self.held_bytes = 0  # total size of `pieces`
         self.sink: Sink | None = None
-        self.fully_received = self.was_forwarded = False
-        self.has_request = False  # whether its request has begun, on the arrival of the other arguments
+        self.fully_received = False
+        self.was_forwarded = False  # whether a sink has been attached: the pieces it got are not kept
+        self.is_forwarded_whole = False  # whether the sink has got the end of the command
         self.is_discarded = False  # whether its request has ended: the rest is read and dropped
-        self.resume_reading: Callable[[], None] = lambda: None  # called when `accepts_more` may have changed
+        self.on_change: Callable[[], None] = lambda: None  # called when it holds less than before
+        self.is_client_present: Callable[[], bool] = lambda: True  # asked before the command is ended
 
     @property
     def is_streamed(self) -> bool:
         """Whether the body is too long to be buffered."""
         return self.length > MAX_BUFFERED_BYTES
 
-    def accepts_more(self) -> bool:
-        """Return whether more of the body should be read from the client."""
-        if self.sink is not None:
-            return not self.sink.has_unsent_bytes
-        return self.is_discarded or self.held_bytes < MAX_BUFFERED_BYTES
-
     def add_piece(self, data: bytes) -> None:
-        """Pass a piece that has arrived to the sink, or hold it if there is none."""
+        """Hold a piece that has arrived, and pass on what the sink takes."""
         self.bytes_left -= len(data)
-        if self.sink is not None:
-            self.sink.send_body_piece(data)
-        elif not self.is_discarded:
+        if not self.is_discarded:
             self.pieces.append(data)
             self.held_bytes += len(data)
+            self.forward()
 
     def finish_receiving(self) -> None:
         """Mark the body as complete: its last byte has arrived."""
         self.fully_received = True
-        if self.sink is not None:
-            self.sink.end_body()
+        self.forward()
 
     def attach(self, sink: Sink) -> None:
         """Attach a sink and pass it the held pieces. They are not kept, so the body cannot be sent twice."""
         self.sink, self.was_forwarded = sink, True
-        for piece in self.pieces:
-            sink.send_body_piece(piece)
-        self._drop_pieces()
-        if self.fully_received:
-            sink.end_body()
+        self.forward()
+
+    def forward(self) -> None:
+        """Pass held pieces to the sink until it takes no more; end the command after the last one.
+
+        The command is not ended for a client that has left.
+        """
+        had_bytes = self.held_bytes
+        while self.pieces and self._sink_is_ready():
+            piece = self.pieces.popleft()
+            self.held_bytes -= len(piece)
+            assert self.sink is not None
+            self.sink.send_body_piece(piece)
+        if self.held_bytes < had_bytes:
+            self.on_change()
+        if self._may_end() and self.is_client_present() and self._may_end():
+            self.is_forwarded_whole = True
+            assert self.sink is not None
+            self.sink.end_body()
+
+    def _sink_is_ready(self) -> bool:
+        return self.sink is not None and not self.sink.has_unsent_bytes
+
+    def _may_end(self) -> bool:
+        is_due = self.fully_received and not self.pieces and not self.is_forwarded_whole
+        return is_due and not self.is_discarded and self._sink_is_ready()
 
     def detach(self) -> None:
         """Remove the sink, which accepts no more pieces."""
         self.sink = None
-        self.resume_reading()
 
     def discard_rest(self) -> None:
         """Drop the held pieces and all that follow: the request has ended."""
         self.is_discarded = True
-        self._drop_pieces()
-        self.resume_reading()
-
-    def _drop_pieces(self) -> None:
         self.pieces.clear()
         self.held_bytes = 0
-        self.resume_reading()
+        self.on_change()
--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -7,17 +7,13 @@
 from collections import deque
 from typing import Protocol, cast
 
-from rainturn.node.arrival_times import ArrivalTimes
-from rainturn.node.body import Body
 from rainturn.node.client_commands import CommandParser
 from rainturn.node.client_replies import ClientReplies
 from rainturn.node.client_timeouts import ConnectionTimeouts
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
-from rainturn.node.resp import count_unread_bytes, count_unsent_bytes
-from rainturn.node.value_memory import ValueMemory
-
-LIVENESS_CHECK_INTERVAL_S = 0.1  # between checks for a hang-up of a client while reading is paused
+from rainturn.node.resp import count_unsent_bytes
+from rainturn.node.turns import TurnQueue
 
 
 class ConnectionOwner(Protocol):
@@ -26,8 +22,8 @@
     node: Node
     parser: CommandParser
     timeouts: ConnectionTimeouts[ClosingConnection]
-    value_memory: ValueMemory
     draining: bool
+    turns: TurnQueue
 
     def has_room(self, request: Request) -> bool:
         """Return whether one more request may be open."""
@@ -43,21 +39,18 @@
     """The part of a client connection that decides when and how it ends."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
-        super().__init__(owner.node.clock, owner.value_memory)
+        super().__init__(owner.node.clock, owner.node.memory)
         self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
-        self.buffer = b""  # bytes of commands that are incomplete or not parsed yet
-        self.arrivals = ArrivalTimes()
-        self.body: Body | None = None  # of the command that is being received
         self.has_sent_valid_command = False
         self.reading_paused = False
         self.reading_ended = False  # whether the connection closes as soon as the client has its replies
-        self.liveness_timer: asyncio.TimerHandle | None = None  # set while reading is paused
         self.hangup_poll = select.poll()  # detects that the client has hung up, even behind unread input
         self.input_poll = select.poll()  # detects unread input
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time limit within which a new client has to send a valid command."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(0)  # `pause_writing` is called as soon as bytes stay there
         descriptor = transport.get_extra_info("socket").fileno()
         self.hangup_poll.register(descriptor, select.POLLRDHUP)
         self.input_poll.register(descriptor, select.POLLIN)
@@ -67,6 +60,22 @@
         """Pause or resume reading, as the state of the connection requires."""
         raise NotImplementedError
 
+    def reject_incomplete(self) -> None:
+        """Reject an incomplete command with an error, unless more of it has come and is not read yet."""
+        raise NotImplementedError
+
+    def _on_all_answered(self) -> None:
+        """Handle that no command is unanswered and none has been received in part."""
+        raise NotImplementedError
+
+    def _is_receiving(self) -> bool:
+        """Return whether input is unparsed, or the rest of a command is due."""
+        raise NotImplementedError
+
+    def _release_input(self) -> None:
+        """Drop all input."""
+        raise NotImplementedError
+
     def _reject(self, reason: str) -> None:
         """Stop reading, reply with an error after all earlier replies, then close the connection."""
         raise NotImplementedError
@@ -106,16 +115,6 @@
         if not (self.has_sent_valid_command or self.closing):
             self.abort()
 
-    def reject_incomplete(self) -> None:
-        """Reject an incomplete command with an error.
-
-        Guards against a partial command, or a line that never ends, holding the connection open.
-        """
-        self._reject("the command did not come whole in time")
-        self.buffer = b""
-        self._update_reading()
-        self.answer_pending_requests()  # the error is due now, but has to follow their replies
-
     def abort_if_replies_sent(self) -> None:
         """Abort a connection that is being closed, unless the client has still to take replies."""
         if not count_unsent_bytes(self.transport):
@@ -144,7 +143,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection between requests; a partly received command, read or not, is served first."""
-        if self.pending or self.buffer or self.body is not None:
+        if self.pending or self._is_receiving():
             return
         if not (self.closing or self.transport.is_closing() or self.has_unread_input()):
             self._close_gracefully()
@@ -163,7 +162,12 @@
 
     def _end_after_cut_value(self) -> None:
         """Close after a part of a long value, once the client's machine has what was sent before."""
+        _, *behind = self.pending
         self.pending.clear()
+        for entry in behind:  # there are some if no memory was left for buffering the value
+            if isinstance(entry, Request):
+                self.node.abandon_request(entry)
+                self._discard_value(entry)
         self._close_gracefully()
 
     def _close_write_side(self) -> None:
@@ -196,25 +200,9 @@
             self._on_hangup()
         return not self.transport.is_closing()
 
-    def _check_liveness(self) -> None:
-        """Detect a client that has hung up while reading is paused, when its end of stream is not read."""
-        if self.is_connected():
-            self._note_unread()
-            self.liveness_timer = self.node.loop.call_later(LIVENESS_CHECK_INTERVAL_S, self._check_liveness)
-
-    def _note_unread(self) -> None:
-        """Record bytes that arrive while reading is paused: the time limits of their commands have begun."""
-        self.arrivals.note_unread(count_unread_bytes(self.transport), self.node.clock.now())
-
-    def _cancel_liveness_timer(self) -> None:
-        if self.liveness_timer is not None:
-            self.liveness_timer.cancel()
-            self.liveness_timer = None
-
     def _on_hangup(self) -> None:
         """Abort the connection of a client that has left; replies that it has not read are dropped."""
         self.closing = True
-        self._cancel_liveness_timer()
         self.transport.abort()
         self._drop_requests()
 
@@ -224,7 +212,8 @@
             if isinstance(entry, Request):
                 self.node.abandon_request(entry)
                 self._discard_value(entry)
-        self._release_sent_values()
+        self._release_output()
+        self._release_input()
 
     def eof_received(self) -> None:
         """Handle the client's end of stream immediately, without waiting for pending writes."""
--- a/rainturn/node/client_commands.py
+++ b/rainturn/node/client_commands.py
@@ -15,9 +15,10 @@
 REQUEST_VERBS = (b"API.READ", b"API.WRITE")
 REQUIRED_FIELDS = (b"c", b"t", b"d", b"units", b"spread", b"first")
 NUMBER_FIELDS = REQUIRED_FIELDS[2:]
+MAX_FIELDS = 64  # of one request; more would take long to parse
 MAX_INTEGER_DIGITS = 12  # of a number before its decimal point
 CUSTOMER_NUMBER_LIMIT = 1 << 33  # customer numbers are below this
-STREAMED_BODY_BYTES = 128 * 1024  # memory counted for a streamed body: held pieces, and as much unsent
+REQUEST_BYTES = 8 << 10  # memory of the objects of a request, its attempt and the connection to its host
 
 _is_customer = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 _is_decimal = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,6})?").fullmatch
@@ -36,6 +37,8 @@
 
 def _parse_fields(text: bytes) -> dict[bytes, bytes]:
     """Parse `name=value,name=value...` into a dictionary, and check that all required fields are present."""
+    if text.count(b",") >= MAX_FIELDS:
+        raise MalformedCommand("too many fields")
     pairs = text.split(b",")
     fields: dict[bytes, bytes] = {}
     for pair in pairs:
@@ -91,12 +94,13 @@
             fields.get(b"r") == b"1",
             body is None,
         )
-        held_bytes = sum(map(len, arguments))
         if body is not None:
-            deadline, held_bytes = math.inf, held_bytes + STREAMED_BODY_BYTES
+            deadline = math.inf
         start = 0 if arguments[3].startswith(b"d=") else arguments[3].index(b",d=") + 1
         end = arguments[3].find(b",", start)
         before, after = arguments[3][:start], arguments[3][end:] if end > 0 else b""
+        arguments[3] = b""  # it is sent with another value of `d`
+        held_bytes = REQUEST_BYTES + len(before) + len(after) + sum(map(len, arguments))
         return Request(arrival, deadline, arguments, before, after, client, held_bytes, time_limit_ms, body)
 
     def _check_id(self, request_id: bytes) -> None:
--- a/rainturn/node/client_listener.py
+++ b/rainturn/node/client_listener.py
@@ -15,8 +15,9 @@
 from rainturn.node.client_timeouts import ConnectionTimeouts
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
+from rainturn.node.resp import MAX_BUFFERED_BYTES
 from rainturn.node.system_errors import CLIENT_GONE, RETRY_S
-from rainturn.node.value_memory import ValueMemory
+from rainturn.node.turns import TurnQueue
 from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
@@ -24,8 +25,7 @@
 BACKLOG = 1024  # connections that the kernel queues until they are accepted
 ACCEPT_BATCH = 32  # connections accepted per event loop iteration, so that other work is not delayed
 FINAL_ACCEPT_TIMEOUT_S = 0.25  # how long failed accepts are retried before the listener closes
-COMMAND_MEMORY_SHARE = 0.25  # share of the memory limit that the commands of open requests may use
-VALUE_MEMORY_SHARE = 0.125  # share of the memory limit that long values which are buffered whole may use
+REPLY_ROOM_BYTES = MAX_BUFFERED_BYTES  # room that a new request has to find beside its own, for its reply
 DRAIN_DELAY_S = 0.6  # from going out of service to draining; the last new connections have arrived by then
 CLOSE_TIMEOUT_S = 0.2  # how long the last replies may take to be sent when the gateway stops
 
@@ -42,11 +42,10 @@
 class ClientListener:
     """Accepts client connections within a budget and keeps track of them."""
 
-    def __init__(self, node: Node, names: Names, budget: int, max_open: int, memory_mb: float) -> None:
+    def __init__(self, node: Node, names: Names, budget: int, max_open: int) -> None:
         self.node, self.budget, self.max_open = node, budget, max_open
-        self.max_held_bytes = int(memory_mb * COMMAND_MEMORY_SHARE * (1 << 20))
-        self.value_memory = ValueMemory(int(memory_mb * VALUE_MEMORY_SHARE * (1 << 20)))
         self.parser = CommandParser(node, names)
+        self.turns = TurnQueue(node.loop)
         self.timeouts: ConnectionTimeouts[ClosingConnection] = ConnectionTimeouts(node.loop)
         self.connections: set[ClosingConnection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -137,9 +136,8 @@
     def has_room(self, request: Request) -> bool:
         """Return whether one more request fits the limits on open requests and on their memory."""
         node = self.node
-        return (
-            len(node.requests) < self.max_open and node.held_bytes + request.held_bytes <= self.max_held_bytes
-        )
+        needed_bytes = request.held_bytes + REPLY_ROOM_BYTES
+        return len(node.requests) < self.max_open and needed_bytes <= node.memory.free_bytes
 
     def on_idle(self, connection: ClosingConnection) -> None:
         """Record that all requests of a client are answered, so that it may be evicted for a new one."""
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -7,11 +7,14 @@
 from collections import deque
 
 from rainturn.node.gateway import Clock
+from rainturn.node.input_buffer import READ_SIZE
+from rainturn.node.memory_account import Holding, MemoryAccount
 from rainturn.node.requests import Request
 from rainturn.node.send_progress import SendProgress
-from rainturn.node.value_memory import ValueMemory
 
 FAILURE_REPLY = b"-ERR failed\r\n"
+MAX_UNSENT_BYTES = 1 << 16  # with more unsent replies no further commands are read
+MAX_JOINED_BYTES = 1 << 16  # joining more would take too much memory a second time
 
 
 class QueuedReply:
@@ -23,22 +26,23 @@
         self.reply: bytes | None = reply
 
 
-class ClientReplies(asyncio.Protocol):
+class ClientReplies(asyncio.BufferedProtocol):
     """Sends the replies of one connection.
 
     A long value is sent in pieces as they arrive, once the replies before it have been sent. If it breaks off
     after that, the connection has to end, because the protocol has no other sign for it. So a value that has
-    commands behind it is sent only once it is whole: they would get no reply.
+    commands behind it is buffered and sent only once it is whole: they would get no reply.
     """
 
-    def __init__(self, clock: Clock, value_memory: ValueMemory) -> None:
-        self.clock, self.value_memory = clock, value_memory
+    def __init__(self, clock: Clock, memory: MemoryAccount) -> None:
+        self.clock, self.output = clock, Holding(memory)
         self.transport: asyncio.Transport
         self.pending: deque[Request | QueuedReply] = deque()  # unanswered commands in order
         self.closing = False  # whether input is ignored and the connection ends after the last reply
-        self.writing_paused = False  # whether the write buffer is full: the client leaves replies unread
+        self.writing_paused = False  # whether the write buffer holds bytes that the system does not take yet
         self.send_progress = SendProgress()
-        self.unsent_reserved_bytes = 0  # reserved for whole values in the write buffer
+        self.queued_bytes = 0  # of replies and pieces that wait for those before them, and reserved for more
+        self.unsent_bytes = 0  # written since the write buffer was last empty
 
     def send_value(self, request: Request, value: bytes) -> None:
         """Send a host's value."""
@@ -58,12 +62,17 @@
         """Send an error that does not say whether the request has run."""
         self._reply_to_request(request, FAILURE_REPLY)
 
-    def begin_value(self, request: Request, length: int) -> bool:
-        """Begin a long value of `length` bytes; return False if it must be buffered and there is no room."""
+    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
+        """Begin a long value of `length` bytes; return False if it should be buffered and there is no room.
+
+        Unless `may_be_refused` is set, such a value is sent as it arrives.
+        """
         if self._has_commands_behind(request):
-            if not self.value_memory.reserve(length):
+            if self.output.reserve(length):
+                self.queued_bytes += length
+                request.is_buffered_whole, request.reserved_bytes = True, length
+            elif may_be_refused:
                 return False
-            request.reserved_bytes = length
         self.send_piece(request, b"$%d\r\n" % length)
         return True
 
@@ -73,18 +82,27 @@
 
     def send_piece(self, request: Request, data: bytes) -> None:
         """Send a piece of a long value, or buffer it until the value may be sent."""
+        reserved_bytes = min(len(data), request.reserved_bytes)
+        request.reserved_bytes -= reserved_bytes
+        self.queued_bytes += len(data) - reserved_bytes
         request.value_pieces.append(data)
         self._flush()
 
     def accepts_piece(self, request: Request) -> bool:
         """Return whether the host may give the next piece of a long value now.
 
-        Either memory is reserved for all of the value, or the piece can be sent: the request is first in the
-        queue and the client reads its replies.
+        Either memory is reserved for all of the value, or the piece can be sent, as the request is first in
+        the queue and the client reads its replies, or there is room for it to wait for those before it.
         """
-        if request.reserved_bytes:
+        if request.is_buffered_whole:
             return True
-        return bool(self.pending) and self.pending[0] is request and not self.writing_paused
+        if self.pending and self.pending[0] is request:
+            return not self.writing_paused
+        return self.output.room() >= READ_SIZE
+
+    def piece_size_limit(self, request: Request) -> int:
+        """Return how long the next piece of a long value may be, in bytes."""
+        return request.reserved_bytes or self.output.room()
 
     def end_value(self, request: Request) -> None:
         """End a long value that is complete."""
@@ -96,7 +114,7 @@
         If a part of the value has been sent, the connection ends, so that the client sees that it is cut
         short. No command behind it has been read in that case.
         """
-        is_sent = bool(self.pending) and self.pending[0] is request and not request.reserved_bytes
+        is_sent = bool(self.pending) and self.pending[0] is request and not request.is_buffered_whole
         self._discard_value(request)
         if is_sent:
             self._end_after_cut_value()
@@ -108,51 +126,69 @@
 
     def _discard_value(self, request: Request) -> None:
         """Drop the buffered pieces of a long value, and free their memory."""
+        self.queued_bytes -= sum(map(len, request.value_pieces)) + request.reserved_bytes
         request.value_pieces.clear()
-        self.value_memory.release(request.reserved_bytes)
-        request.reserved_bytes = 0
+        request.is_buffered_whole, request.reserved_bytes = False, 0
+        self._update_output()
 
     def _reply_to_request(self, request: Request, reply: bytes) -> None:
         request.reply = reply
+        self.queued_bytes += len(reply)
         self._flush()
 
     def _reply(self, reply: bytes) -> None:
         """Reply to a command that is not a request."""
         self.pending.append(QueuedReply(reply))
+        self.queued_bytes += len(reply)
         self._flush()
 
     def _flush(self) -> None:
         """Write the replies at the head of the queue, and the available pieces of a long value after them."""
+        ready = self._take_ready()
+        if ready and not self.transport.is_closing():
+            self._write(ready)
+        self._update_output()
+        if ready and not self.transport.is_closing():
+            self._on_replies_written()
+
+    def _take_ready(self) -> list[bytes]:
+        """Remove what can be sent now from the queue and return it."""
         ready: list[bytes] = []
         while self.pending:
             entry = self.pending[0]
-            if isinstance(entry, Request) and not (entry.reserved_bytes and entry.reply is None):
+            if isinstance(entry, Request) and (entry.reply is not None or not entry.is_buffered_whole):
+                self.queued_bytes -= sum(map(len, entry.value_pieces))
                 ready += entry.value_pieces
                 entry.value_pieces.clear()
             if entry.reply is None:
                 break
+            self.queued_bytes -= len(entry.reply)
             ready.append(self._reply_to_send(entry) if isinstance(entry, Request) else entry.reply)
-            if isinstance(entry, Request):
-                self.unsent_reserved_bytes += entry.reserved_bytes
-                entry.reserved_bytes = 0
             self.pending.popleft()
-        if not ready:
-            return
-        if self.transport.is_closing():
-            return self._release_sent_values()
-        self.send_progress.note_written(sum(map(len, ready)))
-        if self.unsent_reserved_bytes:
-            self.transport.writelines(ready)  # joining whole values would take their memory a second time
+        return ready
+
+    def _write(self, pieces: list[bytes]) -> None:
+        size = sum(map(len, pieces))
+        self.send_progress.note_written(size)
+        if size > MAX_JOINED_BYTES:
+            self.transport.writelines(pieces)
         else:
-            self.transport.write(b"".join(ready) if len(ready) > 1 else ready[0])
-        if not self.writing_paused:
-            self._release_sent_values()
-        self._on_replies_written()
-
-    def _release_sent_values(self) -> None:
-        """Free the memory of whole values that have left the write buffer, or never will."""
-        self.value_memory.release(self.unsent_reserved_bytes)
-        self.unsent_reserved_bytes = 0
+            self.transport.write(b"".join(pieces) if len(pieces) > 1 else pieces[0])
+        if self.writing_paused:
+            self.unsent_bytes += size
+
+    def _leaves_replies_unread(self) -> bool:
+        """Return whether the client takes its replies too slowly for more commands."""
+        return self.writing_paused and self.unsent_bytes > MAX_UNSENT_BYTES
+
+    def _update_output(self) -> None:
+        """Bring the account up to date with what is held for the client."""
+        self.output.resize(self.queued_bytes + self.unsent_bytes)
+
+    def _release_output(self) -> None:
+        """Record that nothing is held for the client any more."""
+        self.queued_bytes = self.unsent_bytes = 0
+        self._update_output()
 
     def _reply_to_send(self, request: Request) -> bytes:
         """Return the reply that is correct now: a refusal sent too late becomes a failure."""
--- a/rainturn/node/counter_client.py
+++ b/rainturn/node/counter_client.py
@@ -40,7 +40,7 @@
     return b"0" if text == "-0" else text.encode()
 
 
-class CounterConnection(OutgoingConnection):
+class CounterConnection(OutgoingConnection, asyncio.Protocol):
     """One connection and the calls sent on it that have no answer yet, including those that timed out."""
 
     def __init__(self, counter: CounterClient) -> None:
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -12,6 +12,7 @@
 
 from rainturn import interface as it
 from rainturn.decisions import Gateway
+from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.metrics import Ending, Metrics
 from rainturn.node.requests import Attempt, Request, ValueSource, ValueTransfer
 
@@ -58,16 +59,21 @@
     """Passes events to the decision module in order and carries out the actions that it returns."""
 
     def __init__(
-        self, settings: it.Settings, seed: int, clock: Clock, loop: asyncio.AbstractEventLoop
+        self,
+        settings: it.Settings,
+        seed: int,
+        clock: Clock,
+        loop: asyncio.AbstractEventLoop,
+        memory: MemoryAccount,
     ) -> None:
-        self.settings, self.clock, self.loop = settings, clock, loop
+        self.settings, self.clock, self.loop, self.memory = settings, clock, loop, memory
         self.decision_module = Gateway(settings, seed)
         self.metrics = Metrics(len(settings.classes))
         self.hosts: AttemptRunner
         self.counter: CounterCaller
         self.requests: dict[int, Request] = {}
         self.request_ids: set[bytes] = set()  # the ids that clients gave the open requests
-        self.last_request_number = self.unanswered = self.held_bytes = 0
+        self.last_request_number = self.unanswered = 0
         self._events: deque[it.Event] = deque()
         self._handling = False
         self.list_incomplete = False  # whether only the first part of the first host list has been applied
@@ -136,9 +142,8 @@
         if request is not None and request.is_finished and not request.open_attempts:
             del self.requests[number]
             self.request_ids.discard(request.arguments[2])
-            self.held_bytes -= request.held_bytes
-            if request.deadline_timer is not None:
-                request.deadline_timer.cancel()
+            self.memory.change(-request.held_bytes)
+            self._cancel_deadline(request)
 
     # Requests.
 
@@ -147,7 +152,7 @@
         self.requests[request.number] = request
         self.request_ids.add(request.arguments[2])
         self.unanswered += 1
-        self.held_bytes += request.held_bytes
+        self.memory.change(request.held_bytes)
         if request.body is None:
             self._set_deadline(request)
         self.dispatch(request.arrival)
@@ -159,10 +164,28 @@
             self._set_deadline(request)
             self.dispatch(it.BodyComplete(request.number, deadline))
 
+    def limit_upload(self, request: Request, deadline: float) -> None:
+        """Set a deadline (Unix time in ms) for a body whose last byte the client may have written already."""
+        if not request.is_finished:
+            request.deadline = deadline
+            self._set_deadline(request)
+
+    def lift_upload_limit(self, request: Request) -> None:
+        """Remove the deadline of a body whose last byte the client has not written yet."""
+        if not request.is_finished:
+            request.deadline = math.inf
+            self._cancel_deadline(request)
+
     def _set_deadline(self, request: Request) -> None:
+        self._cancel_deadline(request)
         delay = max(0.0, request.deadline - self.clock.now()) / 1000
         request.deadline_timer = self.loop.call_later(delay, self._on_deadline, request)
 
+    def _cancel_deadline(self, request: Request) -> None:
+        if request.deadline_timer is not None:
+            request.deadline_timer.cancel()
+            request.deadline_timer = None
+
     def in_progress(self) -> int:
         """Return how many requests have arrived completely and have not ended."""
         return sum(not request.is_finished and request.is_complete() for request in self.requests.values())
@@ -171,17 +194,21 @@
         """End a request whose client has disconnected; it gets no reply."""
         if request.is_finished:
             return
-        streaming = not request.is_complete() or request.transfer is not None
+        is_pointless = not request.is_forwarded_whole() or request.transfer is not None
         self._finish_request(request, None)
         self.dispatch(it.RequestGone(request.number))
-        for attempt in request.attempts if streaming else ():
-            if attempt is not None:  # an incomplete command never runs, and a value has no recipient
-                self.hosts.drop(attempt)
-                self.end_attempt(
-                    attempt, it.Outcome.CANCELLED if request.is_complete() else it.Outcome.NOT_SENT
-                )
+        if is_pointless:  # an incomplete command never runs, and a value has no recipient
+            self._drop_attempts(request)
         self._forget_if_finished(request.number)
 
+    def _drop_attempts(self, request: Request) -> None:
+        """End all attempts of a request whose answers nobody needs."""
+        for attempt in request.attempts:
+            if attempt is not None:
+                outcome = it.Outcome.CANCELLED if attempt.is_out() else it.Outcome.NOT_SENT
+                self.hosts.drop(attempt)
+                self.end_attempt(attempt, outcome)
+
     def _on_deadline(self, request: Request) -> None:
         """End the attempts as timed out, and then the request itself if it is still open.
 
@@ -210,14 +237,20 @@
 
     def _give_up(self, request: Request) -> None:
         """Send a refusal if a repeat is harmless, otherwise a failure, without the decision module."""
-        request_class = self.settings.classes[request.arrival.request_class]
-        if request_class.effect is it.Effect.SAFE or not request.may_run():
+        if self._may_refuse(request):
             self._finish_request(request, Ending.DROPPED)
             request.client.send_refusal(request, 0.0, math.inf)
         else:
             self._finish_request(request, Ending.BAD_GATEWAY)
             request.client.send_failure(request)
         self.dispatch(it.RequestGone(request.number))
+        if not request.is_forwarded_whole():
+            self._drop_attempts(request)
+
+    def _may_refuse(self, request: Request) -> bool:
+        """Return whether a repeat of this request is harmless."""
+        effect = self.settings.classes[request.arrival.request_class].effect
+        return effect is it.Effect.SAFE or not request.may_run()
 
     def _withdraw_value(self, request: Request) -> None:
         """Take back a long value that cannot be completed; this ends the request if a part of it was sent."""
@@ -283,9 +316,9 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         if attempt.request.attempts[attempt.number] is attempt:
-            written = attempt.connection is not None
+            outcome = it.Outcome.TIMEOUT if attempt.is_out() else it.Outcome.UNREACHABLE
             self.hosts.drop(attempt)
-            self.end_attempt(attempt, it.Outcome.TIMEOUT if written else it.Outcome.UNREACHABLE)
+            self.end_attempt(attempt, outcome)
 
     def _cancel(self, action: it.Cancel, now: float) -> None:
         request = self.requests.get(action.request)
@@ -306,7 +339,7 @@
         if not request.is_unanswered():
             return False
         request.transfer = ValueTransfer(attempt, source)
-        if not request.client.begin_value(request, length):
+        if not request.client.begin_value(request, length, self._may_refuse(request)):
             request.transfer = None
             self.end_request_now(request)
             return False
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -9,12 +9,15 @@
 
 from rainturn import interface as it
 from rainturn.node.gateway import Node
+from rainturn.node.input_buffer import READ_SIZE, READ_VIEW
+from rainturn.node.memory_account import MIN_HOLDING_BYTES, Holding
 from rainturn.node.requests import Attempt
 from rainturn.node.resp import (
     LongValue,
     OutgoingConnection,
     ProtocolError,
     check_fields,
+    count_missing_bytes,
     encode_array,
     end_sending,
     parse_answer,
@@ -24,6 +27,7 @@
 STALL_LIMIT_S = 0.5  # longest pause between two pieces of an answer that is buffered whole
 VALUE_STALL_LIMIT_S = 4.0  # longest pause between two pieces of a long value, which is streamed to the client
 UPLOAD_STALL_LIMIT_S = 3.0  # how long a host may accept no byte of a streamed request body
+MIN_READ_BYTES = MIN_ANSWER_BYTES = MIN_HOLDING_BYTES  # what is read of an answer whatever the account holds
 
 
 class ConnectionOwner(Protocol):
@@ -61,7 +65,7 @@
     return b"*%d%s$%d\r\n" % (len(words) + 1, encode_array(words)[2:], request.body.length)
 
 
-class HostConnection(OutgoingConnection):
+class HostConnection(OutgoingConnection, asyncio.BufferedProtocol):
     """A connection to a host, owned by a pool."""
 
     def __init__(self, pool: ConnectionOwner, address: tuple[str, int]) -> None:
@@ -73,10 +77,13 @@
         self.stall_timer: asyncio.TimerHandle | None = None  # runs while the host has to send or accept bytes
         self.uploading = False  # whether part of a streamed body still has to be sent
         self.send_progress = SendProgress()
+        self.memory = Holding(pool.node.memory)  # of the answer and of what is written and not sent
+        self.unsent_bytes = 0  # written since the write buffer was last empty
+        self.reserved_bytes = 0  # for an answer that is buffered whole
         self.value_bytes_left: int | None = None  # remaining bytes of a streamed value
         self.fields_after_value = 0  # number of fields that follow the streamed value
         self.fields_expected: int | None = None  # number of fields after a complete value; None before that
-        self.reading_paused = False  # whether reading waits for the client to accept more of a value
+        self.reading_paused = False  # whether reading waits for the client, or for room for the answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the socket for the check for unread input in `is_usable`."""
@@ -112,6 +119,15 @@
     def _write(self, data: bytes) -> None:
         self.send_progress.note_written(len(data))
         self.transport.write(data)
+        if self.has_unsent_bytes:
+            self.unsent_bytes += len(data)
+            self._update_memory()
+
+    def _update_memory(self) -> None:
+        """Bring the account up to date with what this connection holds."""
+        self.memory.resize(
+            0 if self.closed else max(len(self.buffer), self.reserved_bytes) + self.unsent_bytes
+        )
 
     def end_body(self) -> None:
         """End the command after its body.
@@ -142,22 +158,36 @@
         self._set_stall_timer(UPLOAD_STALL_LIMIT_S, self._check_upload)
 
     def resume_writing(self) -> None:
-        """Note that all written bytes have been sent, and resume reading of the streamed body."""
+        """Note that all written bytes have been sent, and go on with the streamed body."""
         super().resume_writing()
+        self.unsent_bytes = 0
+        self._update_memory()
         if self.closed or self.attempt is None:
             return
+        self._cancel_stall_timer()
         if not self.uploading:
             self.pool.node.metrics.upstream_tries += 1
-        self._cancel_stall_timer()
-        if self.attempt.request.body is not None:
-            self.attempt.request.body.resume_reading()
+        elif self.attempt.request.body is not None:
+            self.attempt.request.body.forward()
 
     # Receiving.
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer for the next read, no larger than there is room for."""
+        attempt = self.attempt
+        if attempt is not None and self.value_bytes_left is not None:
+            room = attempt.request.client.piece_size_limit(attempt.request)
+        else:
+            room = self.memory.room()
+        return READ_VIEW[: max(MIN_READ_BYTES, min(READ_SIZE, room))]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer an answer until it is complete; stream a long value to the client as it arrives."""
-        if self.closed:
-            return
+        if not self.closed:
+            self._receive(bytes(READ_VIEW[:nbytes]))
+            self._update_memory()
+
+    def _receive(self, data: bytes) -> None:
         if self.value_bytes_left is not None:
             return self._forward_value(data)
         self.buffer = self.buffer + data if self.buffer else data
@@ -171,7 +201,7 @@
         except ProtocolError:
             return self.fail()
         if reply is None:
-            return self._set_stall_timer(STALL_LIMIT_S, self.fail)
+            return self._await_rest()
         if isinstance(reply, LongValue):
             return self._begin_value(attempt, reply)
         outcome, value = it.Outcome.OK, reply.value
@@ -181,6 +211,29 @@
             outcome, value = it.Outcome.FULL if refused else it.Outcome.ERROR, b""
         self._end_attempt(attempt, outcome, value, reply.field_count, self.buffer[reply.end :])
 
+    def _await_rest(self) -> None:
+        """Wait for the rest of an answer that is buffered whole, once there is room for it."""
+        self._update_memory()
+        missing_bytes = 0 if self.reserved_bytes else count_missing_bytes(self.buffer) or 0
+        if self.memory.reserve(missing_bytes):
+            self.reserved_bytes = len(self.buffer) + missing_bytes if missing_bytes else self.reserved_bytes
+            return self._set_stall_timer(STALL_LIMIT_S, self.fail)
+        if len(self.buffer) < MIN_ANSWER_BYTES:
+            return self._set_stall_timer(STALL_LIMIT_S, self.fail)
+        if not self.reading_paused:
+            self.reading_paused = True
+            self.transport.pause_reading()
+        self._cancel_stall_timer()
+        self.pool.node.memory.call_when_released(self._resume_answer)
+
+    def _resume_answer(self) -> None:
+        """Go on with an answer that has waited for room, if there is some now."""
+        if self.reading_paused and not self.closed:
+            self._await_rest()
+            if self.stall_timer is not None:
+                self.reading_paused = False
+                self.transport.resume_reading()
+
     def _begin_value(self, attempt: Attempt, value: LongValue) -> None:
         data, self.buffer = self.buffer[value.start :], b""
         self.value_bytes_left, self.fields_after_value = value.length, value.field_count
@@ -232,7 +285,7 @@
         """End the attempt. The connection becomes idle once the fields after the value have arrived."""
         self._cancel_stall_timer()
         self.attempt = attempt.connection = None
-        self.fields_expected, self.buffer = field_count, remainder
+        self.fields_expected, self.buffer, self.reserved_bytes = field_count, remainder, 0
         if self.uploading:
             self.close()  # the host answered early and would take the rest of the body for a command
         else:
@@ -285,6 +338,7 @@
         if self.closed:
             return
         self.closed, self.buffer = True, b""
+        self._update_memory()
         self._cancel_stall_timer()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -116,7 +116,7 @@
             not request.is_unanswered()
             or self.is_leaving
             or now > attempt.begin_by
-            or not request.client.is_connected()
+            or not request.client.is_present()
         ):
             # Guards against a connection that is established late: the request may have ended (rule 1), the
             # hosts may have forgotten its key (rule 2), or the host may have begun to leave (rule 3). Also
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -13,9 +13,6 @@
 class Responder(Protocol):
     """The destination of a request's final reply: the connection of its client."""
 
-    def is_connected(self) -> bool:
-        """Return whether the client is still connected; if it is not, end its requests."""
-
     def send_value(self, request: Request, value: bytes) -> None:
         """Send a host's value."""
 
@@ -29,10 +26,14 @@
     def send_failure(self, request: Request) -> None:
         """Send an error that does not say whether the request has run."""
 
-    def begin_value(self, request: Request, length: int) -> bool:
+    def is_present(self) -> bool:
+        """Return whether the client is known to be connected; False too while that cannot be told."""
+
+    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
         """Begin a long value of `length` bytes; return False if there is no room for one that must wait.
 
-        A value whose commands behind it have been read is sent only once it is whole.
+        A value whose commands behind it have been read is sent only once it is whole, if there is room. It is
+        sent as it arrives if there is none and it may not be refused.
         """
 
     def send_piece(self, request: Request, data: bytes) -> None:
@@ -41,6 +42,9 @@
     def accepts_piece(self, request: Request) -> bool:
         """Return whether the next piece of a long value can be sent now."""
 
+    def piece_size_limit(self, request: Request) -> int:
+        """Return how long the next piece of a long value may be, in bytes."""
+
     def end_value(self, request: Request) -> None:
         """End a complete long value."""
 
@@ -88,6 +92,7 @@
         "body",
         "value_pieces",
         "transfer",
+        "is_buffered_whole",
         "reserved_bytes",
         "time_limit_ms",
     )
@@ -117,7 +122,8 @@
         self.refusal_valid_until = math.inf  # a refusal that is sent later becomes a failure
         self.value_pieces: list[bytes] = []  # of a long value, while they wait to be sent
         self.transfer: ValueTransfer | None = None  # set while a long value arrives
-        self.reserved_bytes = 0  # memory reserved for a long value that is sent only once it is whole
+        self.is_buffered_whole = False  # whether a long value is sent only once it is whole
+        self.reserved_bytes = 0  # memory reserved for the rest of such a value
         self.attempts: list[Attempt | None] = []  # by number; None: the attempt has ended
         self.open_attempts = 0
         self.is_finished = False  # whether its final reply is decided or its client has left
@@ -128,23 +134,32 @@
         """Return whether the last byte of the request has arrived."""
         return self.body is None or self.body.fully_received
 
+    def is_forwarded_whole(self) -> bool:
+        """Return whether a command that has been sent to a host has gone out to its last byte."""
+        return self.body is None or self.body.is_forwarded_whole
+
+    def is_begun(self) -> bool:
+        """Return whether an attempt may have run, or a part of the body has been sent to a host."""
+        return self.may_run() or (self.body is not None and self.body.was_forwarded)
+
     def is_unanswered(self) -> bool:
         """Return whether no final reply is decided, and no long value has begun to arrive."""
         return not self.is_finished and self.transfer is None
 
     def is_streaming(self) -> bool:
         """Return whether a long value is being sent as it arrives, so that the reply cannot change."""
-        return self.transfer is not None and not self.reserved_bytes
+        return self.transfer is not None and not self.is_buffered_whole
 
     def is_fed_by(self, attempt: Attempt) -> bool:
         """Return whether a long value arrives from the host of this attempt."""
         return self.transfer is not None and self.transfer.attempt is attempt
 
     def may_run(self) -> bool:
-        """Return whether an attempt may have run or may still run; one that waits for a connection cannot."""
-        return self.may_have_run or any(
-            attempt is not None and attempt.connection is not None for attempt in self.attempts
-        )
+        """Return whether an attempt may have run or may still run.
+
+        One that waits for a connection cannot, and neither can one whose body has not gone out whole.
+        """
+        return self.may_have_run or any(attempt is not None and attempt.is_out() for attempt in self.attempts)
 
 
 class Attempt:
@@ -166,3 +181,7 @@
         self.begin_by = begin_by  # a repeat that gets its connection later is no longer safe and is not sent
         self.connection: object | None = None  # set once the command has been written to it
         self.timer: asyncio.TimerHandle | None = None
+
+    def is_out(self) -> bool:
+        """Return whether the whole command has been written to a host that has not answered yet."""
+        return self.connection is not None and self.request.is_forwarded_whole()
--- a/rainturn/node/resp.py
+++ b/rainturn/node/resp.py
@@ -174,6 +174,13 @@
     return Answer(data[start:end], b"", end + 2, int(header[1]) - 1)
 
 
+def count_missing_bytes(data: bytes) -> int | None:
+    """Return how many bytes of an incomplete answer's value are still to come; None before its length has."""
+    header = _ANSWER_HEADER.match(data)
+    value = _parse_string_header(data, header.end()) if header is not None else None
+    return None if value is None else value[0] + value[1] + len(b"\r\n") - len(data)
+
+
 def check_fields(data: bytes, offset: int, count: int) -> bool | None:
     """Return whether exactly `count` well-formed fields follow, or None if more bytes are needed to tell."""
     if count == 2 and data[offset:] == TWO_NULLS:
@@ -250,7 +257,7 @@
             wrapper.detach()  # keeps the descriptor open for the transport
 
 
-class OutgoingConnection(asyncio.Protocol):
+class OutgoingConnection(asyncio.BaseProtocol):
     """A connection opened by the gateway. `has_unsent_bytes` is set while our write buffer is not empty."""
 
     def __init__(self) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,8 +17,10 @@
 
 from rainturn.node.assembly import Parts, assemble
 from rainturn.node.configuration import parse_config
+from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.resp import encode_array
 
+ACCOUNT_BYTES = 64 << 20  # of the memory account
 TIMEOUT_S = 10.0  # no passing test waits this long; the limit only ends a test that hangs
 
 # The settings in the form of the configuration file.
@@ -86,6 +88,11 @@
     return await asyncio.wait_for(awaitable, TIMEOUT_S)
 
 
+def ample_memory(loop: asyncio.AbstractEventLoop | None = None) -> MemoryAccount:
+    """Return an account that is never full."""
+    return MemoryAccount(1 << 40, loop or asyncio.get_running_loop())
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that the other side gets a TCP reset."""
     raw = writer.get_extra_info("socket")
@@ -336,6 +343,7 @@
             "config",
         )
         self.parts = assemble(config, self.max_descriptors, asyncio.get_running_loop())
+        self.parts.node.memory.limit_bytes = ACCOUNT_BYTES  # whatever the test process itself holds
         self.address = self.parts.clients.accept_from(socket.create_server(config.listen, backlog=1024))
         self.control_address = self.parts.control.accept_from(socket.create_server(("127.0.0.1", 0)))
         return self
@@ -358,7 +366,7 @@
         attempts = module.attempts
         state: dict[str, list[Any]] = {
             "clients": [self.parts.clients.connections, *self.parts.clients.timeouts.states],
-            "requests": [node.requests, node.request_ids, node.unanswered, node.held_bytes],
+            "requests": [node.requests, node.request_ids, node.unanswered, node.memory.held_bytes],
             "module": [attempts.open, attempts.queued, attempts.ended],
             "customers": [(c.open_attempts, c.waiting, c.slot_queue) for c in module.customers.values()],
             "hosts": [host.open_attempts for host in module.hosts.values()],
--- a/tests/test_emulator_services.py
+++ b/tests/test_emulator_services.py
@@ -28,7 +28,7 @@
 from rainturn.node.host_pools import HostPools
 from rainturn.node.resp import encode_array
 from rainturn.settings import names_from, settings_from
-from tests.sockets import Client, run, with_timeout
+from tests.sockets import Client, ample_memory, run, with_timeout
 
 UNUSED_HOST_ADDRESSES = ("127.0.0.1:9",)  # no connection is opened to it
 
@@ -66,7 +66,7 @@
         entries = make_host_entries(30, UNUSED_HOST_ADDRESSES)
         service = DiscoveryService(entries)
         settings = settings_from(wire_settings(0, 1))
-        node = Node(settings, 1, Clock(), asyncio.get_running_loop())
+        node = Node(settings, 1, Clock(), asyncio.get_running_loop(), ample_memory())
         pools = HostPools(node, 30_000.0, 0)
         node.hosts = pools
         address = await service.listen("real")
@@ -150,7 +150,9 @@
         service = CounterService()
         address = await service.listen("real")
         answered: list[it.CountAnswered] = []
-        node = Node(settings_from(wire_settings(0, 1)), 1, Clock(), asyncio.get_running_loop())
+        node = Node(
+            settings_from(wire_settings(0, 1)), 1, Clock(), asyncio.get_running_loop(), ample_memory()
+        )
         node.dispatch = answered.append  # type: ignore[assignment, method-assign]
         counter = CounterClient(node, address)
         counter.call(7, 2.0, 4000.0)
--- a/tests/test_hedged_values.py
+++ b/tests/test_hedged_values.py
@@ -57,7 +57,7 @@
             await scenario(setup, HedgedRequest(client, first, second))
             client.writer.close()
             await setup.wait_until_idle()
-            assert not setup.parts.clients.value_memory.reserved_bytes
+            assert not setup.parts.node.memory.held_bytes
         for server in servers:
             server.close()
 
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -12,7 +12,7 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import client_connection, client_timeouts, host_connection, shutdown
+from rainturn.node import client_input, client_timeouts, host_connection, shutdown
 from rainturn.node.resp import encode_array
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
 from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
@@ -110,7 +110,7 @@
             setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
             await scenario(setup, host)
             await setup.wait_until_idle()
-            assert not setup.parts.clients.value_memory.reserved_bytes
+            assert not setup.parts.node.memory.held_bytes
         server.close()
 
     run(main())
@@ -179,7 +179,7 @@
 
 def test_commands_that_wait_unparsed_behind_a_long_value_that_breaks_off_are_answered() -> None:
     """Guards against losing commands that were read but wait for those before them."""
-    ids = [b"short"] * (client_connection.MAX_PENDING - 1) + [b"long"] + [b"behind"] * 8
+    ids = [b"short"] * (client_input.MAX_PENDING - 1) + [b"long"] + [b"behind"] * 8
 
     async def scenario(setup: GatewaySetup, host: BreakingHost) -> None:
         client = await setup.client()
@@ -247,7 +247,7 @@
         client.send_request(b"long")
         _send_behind(client)
         await with_timeout(host.began.wait())
-        while not setup.parts.clients.value_memory.reserved_bytes:
+        while setup.parts.node.memory.held_bytes < LENGTH:
             await asyncio.sleep(0)
         client.writer.transport.abort()
         await setup.wait_until_idle()
@@ -258,7 +258,7 @@
 
 def test_long_value_that_finds_no_memory_is_refused_and_the_requests_behind_it_are_answered() -> None:
     async def scenario(setup: GatewaySetup, host: BreakingHost) -> None:
-        setup.parts.clients.value_memory.limit_bytes = LENGTH - 1
+        setup.parts.node.memory.limit_bytes = LENGTH - 1
         client = await setup.client()
         client.send_request(b"long")
         _send_behind(client)
@@ -277,21 +277,21 @@
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer(VALUE)) as setup:
-            memory = setup.parts.clients.value_memory
+            memory = setup.parts.node.memory
             with socket.socket() as raw:
                 client = SlowReader(raw)
                 await client.ask(setup.address, 12)
                 (connection,) = setup.parts.clients.connections
                 while not connection.writing_paused:
                     await asyncio.sleep(0.01)
-                assert memory.reserved_bytes >= LENGTH
+                assert memory.held_bytes >= LENGTH
                 reading = asyncio.create_task(client.read(0.0))
                 while len(client.answers) < 12:
                     await asyncio.sleep(0.01)
                 assert client.answers == [VALUE] * 12
                 reading.cancel()
             await setup.wait_until_idle()
-            assert not memory.reserved_bytes
+            assert not memory.held_bytes
 
     run(main())
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -7,15 +7,15 @@
 import socket
 import struct
 from functools import partial
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
 from rainturn import interface as it
 from rainturn.counts import units_name
 from rainturn.decisions import quota
-from rainturn.node import client_commands, client_connection, client_timeouts
-from rainturn.node.client_closing import ClosingConnection
+from rainturn.node import client_commands, client_connection, client_input, client_timeouts
+from rainturn.node.client_connection import ClientConnection
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.requests import Attempt
 from rainturn.node.resp import encode_array
@@ -331,7 +331,7 @@
             await with_timeout(
                 setup.hosts[0].closed.get()
             )  # the attempt ends at the deadline with its connection
-            assert not node.requests and not node.held_bytes
+            assert not node.requests and not node.memory.held_bytes
 
     run(main())
 
@@ -349,7 +349,7 @@
 
 @pytest.mark.parametrize("end", ["close", "reset"])
 def test_request_with_a_long_body_is_not_sent_after_its_client_has_left(end: str) -> None:
-    """Reading is paused while much of the body waits, so the end of stream is not read either."""
+    """Much of the body waits, so the end of stream has to be seen behind it."""
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer()) as setup:
@@ -359,7 +359,7 @@
             command = encode_array([b"API.WRITE", b"00000000b4d65521", b"1", head, bytes(200_000)])
             client.writer.write(command[:150_000])
             (connection,) = await _wait_for_connections(setup)
-            while not (held and connection.reading_paused):
+            while not (held and connection.arrivals.received_bytes >= 150_000):
                 await asyncio.sleep(0)
             if end == "reset":
                 reset(client.writer)
@@ -370,34 +370,34 @@
             start(held[0])  # its connection is established
             while node.requests or setup.parts.clients.connections:  # reported one loop iteration later
                 await asyncio.sleep(0.01)
-            assert setup.hosts[0].commands.empty() and not node.held_bytes and not node.unanswered
+            assert setup.hosts[0].commands.empty() and not node.memory.held_bytes and not node.unanswered
             assert not node.decision_module.open
 
     run(main())
 
 
-async def _wait_for_connections(setup: GatewaySetup) -> list[ClosingConnection]:
+async def _wait_for_connections(setup: GatewaySetup) -> list[ClientConnection]:
     while not setup.parts.clients.connections:
         await asyncio.sleep(0)
-    return list(setup.parts.clients.connections)
+    return cast(list[ClientConnection], list(setup.parts.clients.connections))
 
 
 def test_buffered_commands_of_a_disconnected_client_are_not_executed() -> None:
-    """The first requests reach the limit of open ones; the others and the end of stream stay unread."""
+    """The first requests reach the limit of open ones; the others wait before the end of stream."""
 
     async def main() -> None:
         async with GatewaySetup(_never_answer) as setup:
             node, client = setup.parts.node, await setup.client()
-            for n in range(client_connection.MAX_PENDING + 8):
+            for n in range(client_input.MAX_PENDING + 8):
                 client.send_request(b"%d" % n, time_limit_ms=3000)
             (connection,) = await _wait_for_connections(setup)
-            while not connection.reading_paused:
+            while len(connection.pending) < client_input.MAX_PENDING or not connection._is_receiving():
                 await asyncio.sleep(0)
             client.writer.close()
             while setup.parts.clients.connections:
                 await asyncio.sleep(0.01)
             assert (
-                node.last_request_number == client_connection.MAX_PENDING
+                node.last_request_number == client_input.MAX_PENDING
                 and not node.decision_module.open
                 and not node.unanswered
             )
@@ -534,8 +534,8 @@
             if wait == "hosts":
                 numbers = list(node.decision_module.hosts)
                 node.dispatch(it.HostList(it.ListKind.FULL))
-            if wait == "unread":  # more than may be open, so that reading is paused
-                for _ in range(client_connection.MAX_PENDING + 4):
+            if wait == "unread":  # more than may be open, so that some wait unparsed
+                for _ in range(client_input.MAX_PENDING + 4):
                     departing.ask()
             elif wait == "body":
                 fields = b"c=pay,t=basic,d=3000,units=1,spread=1,first=0"
@@ -553,14 +553,14 @@
             (connection,) = await _wait_for_connections(setup)
             while (
                 len(held)
-                < {"counter": 0, "hosts": 0, "unread": client_connection.MAX_PENDING, "behind": 2}.get(
-                    wait, 1
-                )
+                < {"counter": 0, "hosts": 0, "unread": client_input.MAX_PENDING, "behind": 2}.get(wait, 1)
                 or not node.requests
             ):
                 await asyncio.sleep(0)
-            while (wait in ("unread", "body") and not connection.reading_paused) or (
-                wait == "counter" and not calls
+            while (
+                (wait == "unread" and not connection._is_receiving())
+                or (wait == "body" and connection.arrivals.received_bytes < 150_000)
+                or (wait == "counter" and not calls)
             ):
                 await asyncio.sleep(0)
             if wait in ("repeat", "behind"):
@@ -699,7 +699,7 @@
             assert setup.parts.node.last_request_number < 1000  # the gateway has stopped reading
             for connection in setup.parts.clients.connections:
                 unsent_bytes = connection.transport.get_write_buffer_size()
-                assert unsent_bytes <= (1 << 16) + 60_100 * client_connection.MAX_PENDING
+                assert unsent_bytes <= (1 << 16) + 60_100 * client_input.MAX_PENDING
             client.writer.transport.resume_reading()  # type: ignore[attr-defined]
             for _ in range(1000):
                 assert len(await client.read_answer()) == 60_000
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -51,7 +51,7 @@
 class DiscardingClient:
     """A client whose answers no test checks."""
 
-    def is_connected(self) -> bool:
+    def is_present(self) -> bool:
         return True
 
     def send_value(self, request: Request, value: bytes) -> None: ...
@@ -60,7 +60,7 @@
 
     def send_failure(self, request: Request) -> None: ...
 
-    def begin_value(self, request: Request, length: int) -> bool:
+    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
         return True
 
     def send_piece(self, request: Request, data: bytes) -> None: ...
@@ -68,6 +68,9 @@
     def accepts_piece(self, request: Request) -> bool:
         return True
 
+    def piece_size_limit(self, request: Request) -> int:
+        return 1 << 16
+
     def end_value(self, request: Request) -> None: ...
 
     def withdraw_value(self, request: Request) -> bool:
--- a/tests/test_node_lists_at_scale.py
+++ b/tests/test_node_lists_at_scale.py
@@ -25,7 +25,7 @@
 from rainturn.node.requests import Attempt
 from tests.helpers import settings as module_settings
 from tests.sockets import Discovery as Agent
-from tests.sockets import GatewaySetup, host_entry, run, success_answer, with_timeout
+from tests.sockets import GatewaySetup, ample_memory, host_entry, run, success_answer, with_timeout
 from tests.test_node_hosts import EventLog, add_attempt
 
 SIZES = (200, 17_000)
@@ -173,7 +173,7 @@
     """A discovery client with recorded list events and counted operations on hosts."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, known: int = 0) -> None:
-        self.node = Node(module_settings(), 7, Clock(), asyncio.get_running_loop())
+        self.node = Node(module_settings(), 7, Clock(), asyncio.get_running_loop(), ample_memory())
         self.events: list[it.HostList] = []
         self.node.dispatch = self._dispatch  # type: ignore[method-assign]
         self.pools = HostPools(self.node, 30_000.0, 100)
@@ -571,7 +571,7 @@
         monkeypatch.setattr(list_updater, "COMPARED_PER_STEP", 2)
         monkeypatch.setattr(list_updater, "CHANGED_PER_STEP", 1)
         loop: Any = FakeLoop()
-        node = Node(module_settings(), 7, Clock(), loop)
+        node = Node(module_settings(), 7, Clock(), loop, ample_memory(loop))
         pools = HostPools(node, 30_000.0, 100)
         discovery = Discovery(node, pools, ("east",), ("127.0.0.1", 1), 7)
         model = ListModel()
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -145,7 +145,8 @@
     async def main() -> None:
         body = _random_bytes(MAX_LENGTH)
         async with GatewaySetup(lambda words: success_answer()) as setup:
-            pool = setup.parts.pools.pools[1]
+            pool, memory = setup.parts.pools.pools[1], setup.parts.node.memory
+            memory.limit_bytes = 1 << 18
             listener = socket.create_server(("127.0.0.1", 0))
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
             listener.setblocking(False)
@@ -157,7 +158,7 @@
             while not connection.reading_paused:
                 await asyncio.sleep(0)
             (host,) = pool.connections
-            assert host.transport.get_write_buffer_size() < 1 << 20
+            assert host.transport.get_write_buffer_size() < memory.held_bytes <= memory.limit_bytes
             reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
             assert (await _receive_command(reader))[4] == body
             writer.write(success_answer())
