A connection whose input is full has its waiting commands refused at once

Cause: the parser ran before the connection was marked as full; it held its commands for the end of the input, and nothing ran it again after that.

--- a/rainturn/node/client_input.py
+++ b/rainturn/node/client_input.py
@@ -253,6 +253,8 @@
                 self.transport.resume_reading()
         if self.is_blocked() and not pause and self.dry_timer is None:
             self._await_dry()
+        if self.is_input_full and self._may_parse():
+            self._parse_next_turn()  # what had to wait for the end of the input is refused now
         if self._is_at_command_start() or pause or self.closing:
             self.timeouts.uploading.pop(self, None)
         else:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -27,7 +27,7 @@
 Behaviour = Callable[[socket.socket, int], Coroutine[None, None, None]]
 
 
-def _peak_resident_mb(pid: int) -> float:
+def peak_resident_mb(pid: int) -> float:
     """Return the most memory that a process has held in RAM."""
     lines = Path("/proc", str(pid), "status").read_text().splitlines()
     return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM"))
@@ -162,7 +162,7 @@
                 sockets.append(sock)
                 tasks.append(loop.create_task(behaviour(sock, number)))
             await asyncio.sleep(HOLD_S)
-            peak_mb = _peak_resident_mb(process.pid)
+            peak_mb = peak_resident_mb(process.pid)
             stopped.set()
             unanswered = await others
             for task in tasks:
