The customers that a gateway remembers are bounded, the longest unseen one goes first

Cause: each name that a request carries makes a customer of about 1.2 KB in the decision module, which is forgotten only once its window is over and its bucket full again.

Change: at most 5% of the memory limit goes to customers. For a new one the longest unseen one is forgotten that has nothing open and whose ceiling bucket is full; if there is none among the eight oldest, the request is refused.

--- a/rainturn/decisions/gateway.py
+++ b/rainturn/decisions/gateway.py
@@ -63,6 +63,10 @@
             handler(now, event)
         return self.actions.copy()
 
+    def limit_customers(self, count: int) -> None:
+        """Remember at most `count` customers; requests of further ones may be refused."""
+        self.meter.max_customers = count
+
     def is_ready(self, now: float) -> bool:
         """Return whether clients should connect: in service, past `ready_after`, with a host to send to."""
         return self.in_service and now >= self.ready_after and self.index.has_ready_host()
@@ -98,6 +102,8 @@
         customer, price, pass_chance = None, 1.0, 1.0
         if 0 <= event.plan < len(self.settings.plans):
             customer = request.customer = self.meter.get_customer(now, event)
+            if customer is None:
+                return self.attempts.refuse(now, request)
             price, pass_chance = customer.plan.price, self.meter.pass_chance(customer, event.plan)
         tier = self.tiers.tier_of(request_class.worth * price)
         if not self.tiers.admit(tier, pass_chance):
--- a/rainturn/decisions/metering.py
+++ b/rainturn/decisions/metering.py
@@ -1,5 +1,6 @@
 """Decides which requests the quotas admit: by totals of shared counts or, without a total, by the bucket."""
 
+import itertools
 import math
 
 from rainturn import interface as it
@@ -14,6 +15,8 @@
 
 RECOVERY_MS = 500.0  # gateways restore lost counts over this time, so that the counter is not flooded
 RECOVERY_UNITS = 6.0  # only counts that grew by at most this (about 3 requests) since read are restored
+MAX_CUSTOMERS = 100_000  # where no smaller number is set
+EVICTION_CANDIDATES = 8  # customers that are looked at for one to forget
 
 
 class QuotaMeter(Component):
@@ -24,7 +27,8 @@
     ) -> None:
         super().__init__(shared)
         self.attempts, self.slots, self.calls = attempts, slots, calls
-        self.customers: dict[int, Customer] = {}
+        self.customers: dict[int, Customer] = {}  # the most recently seen is last
+        self.max_customers = MAX_CUSTOMERS
         self.pass_shares = [PassShare(0.5 * self.settings.counter, 2.0) for _ in self.settings.plans]
         self.mean_call_value = 1.0  # of `quota.call_value`, over requests
         self.last_total_at = self.loss_found_at = -math.inf  # last total; last time that a loss was found
@@ -32,22 +36,41 @@
         self.empty_counts = 0  # consecutive empty counts well after the start of their window
         self.ceiling_since = 0.0  # since when this process refills the gateway's share of the ceilings
 
-    def get_customer(self, now: float, event: it.Arrived) -> Customer:
-        """Return the request's customer; a new one gets its plan's pass share, reduced for overruns."""
-        customer, plan = self.customers.get(event.customer), self.settings.plans[event.plan]
+    def get_customer(self, now: float, event: it.Arrived) -> Customer | None:
+        """Return the request's customer, or None if there is no room for a new one.
+
+        A new one gets its plan's pass share, reduced for overruns. The most recently seen one is last.
+        """
+        customer, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
+        if customer is None and not self._make_room(now):
+            return None
         if customer is None or customer.plan is not plan:
             former = customer
             customer = quota.new_customer(event.customer, plan, event.spread, now, self.ceiling_since or now)
             cost = plan.over_cost / (1 + plan.over_cost)
             customer.pass_share = max(0.0, self.pass_shares[event.plan].share - cost) / (1 - cost)
             customer.pass_credit = self.rng.random()
-            self.customers[event.customer] = customer
             if former is not None:
                 self._decide_without_total(now, former)
+        self.customers[event.customer] = customer
         customer.last_request_at = now
         quota.refill_buckets(customer, now)
         return customer
 
+    def _make_room(self, now: float) -> bool:
+        """Forget a customer for a new one if there are too many; return whether there is room.
+
+        Guards against requests under ever new names that fill the memory before their customers are idle.
+        """
+        if len(self.customers) < self.max_customers:
+            return True
+        for customer in list(itertools.islice(self.customers.values(), EVICTION_CANDIDATES)):
+            del self.customers[customer.key]
+            if quota.may_be_forgotten(customer, now):
+                return True
+            self.customers[customer.key] = customer  # now the last one, so that others are looked at next
+        return False
+
     def take_over_ceilings(self, now: float) -> None:
         """Refill the share of each ceiling from now on, from nothing: a predecessor used it before."""
         self.ceiling_since = now
--- a/rainturn/decisions/quota.py
+++ b/rainturn/decisions/quota.py
@@ -37,6 +37,19 @@
     return customer
 
 
+def may_be_forgotten(customer: Customer, now: float) -> bool:
+    """Return whether a customer has nothing open, and its ceiling bucket is as full as a new one's."""
+    if customer.has_anything_open() or customer.waiting:
+        return False
+    refill_buckets(customer, now)
+    return customer.ceiling_level >= _ceiling_limit(customer)
+
+
+def _ceiling_limit(customer: Customer) -> float:
+    plan = customer.plan
+    return (plan.ceiling_burst + 0.5 * plan.ceiling_slack) / customer.spread if plan.ceiling_rate else 0.0
+
+
 def refill_buckets(customer: Customer, now: float) -> None:
     """Refill the quota bucket, less the units that others are estimated to take, and the ceiling bucket."""
     plan, elapsed = customer.plan, now - customer.filled_at
@@ -44,10 +57,8 @@
     customer.level = min(plan.burst, filled - min(max(0.0, filled), customer.others_rate * elapsed / 1000))
     customer.filled_at = now
     if plan.ceiling_rate:
-        limit = (plan.ceiling_burst + 0.5 * plan.ceiling_slack) / customer.spread
-        customer.ceiling_level = min(
-            limit, customer.ceiling_level + (now - customer.ceiling_filled_at) * customer.ceiling_rate
-        )
+        filled = customer.ceiling_level + (now - customer.ceiling_filled_at) * customer.ceiling_rate
+        customer.ceiling_level = min(_ceiling_limit(customer), filled)
         customer.ceiling_filled_at = now
 
 
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -16,7 +16,7 @@
 from rainturn.node.discovery import Discovery
 from rainturn.node.gateway import Clock, Node
 from rainturn.node.host_pools import HostPools
-from rainturn.node.memory_account import MemoryAccount, account_limit, resident_bytes
+from rainturn.node.memory_account import MemoryAccount, account_limit, customer_limit, resident_bytes
 from rainturn.settings import Names
 
 log = logging.getLogger(__name__)
@@ -121,6 +121,7 @@
             discovery.apply(config.known, cached=True)
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
+    node.decision_module.limit_customers(customer_limit(config.memory_mb))
     memory.limit_bytes = account_limit(config.memory_mb, descriptors, resident_bytes())
     return Parts(
         node,
--- a/rainturn/node/memory_account.py
+++ b/rainturn/node/memory_account.py
@@ -12,6 +12,8 @@
 FREE_MEMORY_SHARE = 0.5  # of the memory beyond the program's own; the rest is for what the allocator wastes
 LARGEST_SHARE = 0.375  # of the memory limit, so that a process with much memory stays near half of it
 CONNECTION_BYTES = 3 << 10  # the objects of a connection
+CUSTOMER_BYTES = 1200  # what the decision module remembers of a customer
+CUSTOMERS_SHARE = 0.05  # of the memory limit, for all customers
 ASSUMED_PROGRAM_BYTES = 28 << 20  # where the system does not tell
 
 
@@ -85,6 +87,11 @@
     return resident_pages * resource.getpagesize()
 
 
+def customer_limit(memory_mb: float) -> int:
+    """Return how many customers a process with this limit on its memory may remember."""
+    return int(memory_mb * (1 << 20) * CUSTOMERS_SHARE / CUSTOMER_BYTES)
+
+
 def account_limit(memory_mb: float, descriptors: int, program_bytes: int) -> int:
     """Return the limit in bytes of the account of a process with this limit on its memory.
 
--- a/rainturn/records.py
+++ b/rainturn/records.py
@@ -310,10 +310,9 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the customer has sent nothing for a long time and has nothing open."""
-        if (
-            now - self.last_request_at <= self.idle_timeout_ms
-            or self.pending_call is not None
-            or self.pending_slot_call is not None
-        ):
-            return False
-        return not self.open_attempts and not self.slot_queue
+        return now - self.last_request_at > self.idle_timeout_ms and not self.has_anything_open()
+
+    def has_anything_open(self) -> bool:
+        """Return whether it has open attempts, requests that wait for slots, or pending calls."""
+        has_calls = self.pending_call is not None or self.pending_slot_call is not None
+        return has_calls or bool(self.open_attempts or self.slot_queue)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -840,6 +840,33 @@
     assert not driver.gateway.attempts.ended
 
 
+def test_customers_under_ever_new_names_fill_no_memory() -> None:
+    """Guards against state for each name that a client makes up: it was kept until the name was idle."""
+    driver = GatewayDriver(settings(counter=False))
+    driver.gateway.limit_customers(50)
+    for customer in range(1000):
+        _, actions = driver.start_request(customer=customer)
+        for send in of_type(actions, it.Send):
+            driver.end_attempt(send, it.Outcome.OK)
+        driver.start_request(customer=2000)  # one that keeps coming
+        assert len(driver.gateway.customers) <= 50 and 2000 in driver.gateway.customers
+
+
+def test_a_customer_with_something_open_or_a_used_ceiling_is_not_forgotten_for_a_new_one() -> None:
+    """Guards against a second ceiling for a customer that was forgotten in the meantime."""
+    plan = replace(PLAN, ceiling_rate=1.0, ceiling_burst=4.0)
+    driver = GatewayDriver(settings(plans=(plan,), counter=False))
+    driver.advance_clock(10_000.0)
+    driver.gateway.limit_customers(2)
+    for customer in (1, 2):
+        for send in of_type(driver.start_request(customer=customer)[1], it.Send):
+            driver.end_attempt(send, it.Outcome.OK)
+    assert of_type(driver.start_request(customer=3)[1], it.Refuse)
+    assert set(driver.gateway.customers) == {1, 2}
+    driver.advance_clock(20_000.0)
+    assert not of_type(driver.start_request(customer=3)[1], it.Refuse)
+
+
 def test_the_host_list_is_subscribed_to_at_the_start_and_after_a_failure() -> None:
     gate = Gateway(settings(asks_for_list=True), 1)
     assert it.WatchList(True) in gate.handle(0.0, hosts(1))
@@ -1070,6 +1097,7 @@
     customer = driver.gateway.meter.get_customer(
         driver.now, it.Arrived(1, driver.now + 5000.0, 1, 0, 0, 1.0, 2.0)
     )
+    assert customer is not None
     customer.total_window, customer.total_at, customer.level = 0, driver.now, PLAN.burst
     fresh = quota.call_value(customer, driver.now, 1.0)
     customer.level = 0.0
@@ -1087,6 +1115,7 @@
     customer = driver.gateway.meter.get_customer(
         driver.now, it.Arrived(1, driver.now + 5000.0, 1, 0, 0, 1.0, 2.0)
     )
+    assert customer is not None
     customer.level, customer.unreported = 0.0, -2.0
     assert quota.call_value(customer, driver.now, 1.0) == 0.0
     number, got = driver.start_request(0)
