An id stays known when its client leaves, and at the other process of an upgrade

Cause: an id was known while its request had an open attempt, and in one process only.

While two processes serve, each writes the ids that it sends to hosts into a file of the shared folder and reads the other's whenever an id is asked for. Both processes then have half of the memory limit each for their accounts.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from rainturn.node import client_listener, control
-from rainturn.node.assembly import apply_limits, assemble, share_connection_budget
+from rainturn.node.assembly import Parts, apply_limits, assemble, share_connection_budget
 from rainturn.node.configuration import Config, read_config
 from rainturn.node.handover import Handover, inherited_listener
 from rainturn.node.handover_state import predecessor_clock, restore_predecessor_state, state_for_successor
@@ -26,6 +26,18 @@
 READY_POLL_S = 0.02  # interval at which a successor checks whether it is ready to accept
 
 
+def share_with_other_process(
+    parts: Parts, handover: Handover | None, other_descriptors: int | None, is_older: bool
+) -> None:
+    """Share limits and known ids with another process of this gateway, or have them alone again."""
+    assert handover is not None
+    other_name = None if other_descriptors is None else handover.other_process()
+    ids = parts.node.request_ids
+    ids.share(handover.folder, handover.name, other_name, parts.node.clock.now())
+    parts.node.memory.share(other_name is not None)
+    share_connection_budget(parts, other_descriptors, is_older)
+
+
 async def serve(config: Config, descriptors: int) -> None:
     """Serve until SIGTERM or SIGINT, then answer all open requests and return.
 
@@ -43,7 +55,9 @@
         handover = Handover(
             Path(folder),
             lambda: state_for_successor(parts),
-            lambda other_descriptors, is_older: share_connection_budget(parts, other_descriptors, is_older),
+            lambda other_descriptors, is_older: share_with_other_process(
+                parts, handover, other_descriptors, is_older
+            ),
         )
     state = await handover.request_state() if handover is not None else None
     parts = assemble(config, descriptors, loop, predecessor_clock(state))
@@ -72,6 +86,7 @@
     log.info("%s: stopping with %d requests open", config.name, parts.node.unanswered)
     await shut_down(parts, listener is not None)
     if handover is not None:
+        parts.node.request_ids.share(handover.folder, handover.name, None, parts.node.clock.now())
         handover.announce_end()
     parts.control.stop()
     await parts.discovery.stop()
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -122,7 +122,11 @@
         except ValueError as error:
             log.warning("known hosts passed over: %s", error)
     node.decision_module.limit_customers(customer_limit(config.memory_mb))
-    memory.limit_bytes = account_limit(config.memory_mb, descriptors, resident_bytes())
+    program_bytes = resident_bytes()
+    memory.set_limits(
+        account_limit(config.memory_mb, descriptors, program_bytes),
+        account_limit(config.memory_mb / 2, descriptors // 2, program_bytes),
+    )
     return Parts(
         node,
         pools,
--- a/rainturn/node/client_commands.py
+++ b/rainturn/node/client_commands.py
@@ -106,9 +106,9 @@
     def _check_id(self, request_id: bytes) -> None:
         if not _is_request_id(request_id):
             raise MalformedCommand("id is empty or odd")
-        if request_id in self.node.request_ids:
+        if self.node.request_ids.is_known(request_id, self.node.clock.now()):
             # Guards against two requests that a host would take for one.
-            raise MalformedCommand("a request with this id is open")
+            raise MalformedCommand("a request with this id is open, or was when its client left")
 
     def _parse_request_class(self, verb: bytes, fields: dict[bytes, bytes]) -> int:
         """Return the number of the request's class after checking class, plan, verb and key."""
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -14,6 +14,7 @@
 from rainturn.decisions import Gateway
 from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.metrics import Ending, Metrics
+from rainturn.node.request_ids import RequestIds
 from rainturn.node.requests import Attempt, Request, ValueSource, ValueTransfer
 
 __all__ = ["Attempt", "AttemptRunner", "Clock", "CounterCaller", "Node", "Request"]
@@ -38,6 +39,11 @@
         return self.base_ms + time.monotonic() * 1000.0
 
 
+def longest_window_ms(settings: it.Settings) -> float:
+    """Return how long a request may still have effects after its client has left, by all classes."""
+    return max((max(c.deadline_ms, c.window_ms) for c in settings.classes), default=0.0)
+
+
 class AttemptRunner(Protocol):
     """Sends attempts to hosts."""
 
@@ -72,7 +78,7 @@
         self.hosts: AttemptRunner
         self.counter: CounterCaller
         self.requests: dict[int, Request] = {}
-        self.request_ids: set[bytes] = set()  # the ids that clients gave the open requests
+        self.request_ids = RequestIds(longest_window_ms(settings))
         self.last_request_number = self.unanswered = 0
         self._events: deque[it.Event] = deque()
         self._handling = False
@@ -141,7 +147,10 @@
         request = self.requests.get(number)
         if request is not None and request.is_finished and not request.open_attempts:
             del self.requests[number]
-            self.request_ids.discard(request.arguments[2])
+            if request.client_has_left and request.may_have_run:
+                self.request_ids.remember(request.arguments[2], self.clock.now())
+            else:
+                self.request_ids.discard(request.arguments[2])
             self.memory.change(-request.held_bytes)
             self._cancel_deadline(request)
 
@@ -194,6 +203,7 @@
         """End a request whose client has disconnected; it gets no reply."""
         if request.is_finished:
             return
+        request.client_has_left = True
         is_pointless = not request.is_forwarded_whole() or request.transfer is not None
         self._finish_request(request, None)
         self.dispatch(it.RequestGone(request.number))
@@ -312,6 +322,8 @@
             return self.end_attempt(attempt, it.Outcome.NOT_SENT)
         if deadline < request.deadline:
             attempt.timer = self.loop.call_later((deadline - now) / 1000, self._time_out, attempt)
+        if not attempt.number:
+            self.request_ids.note_sent(request.arguments[2])
         self.hosts.start(attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
--- a/rainturn/node/handover.py
+++ b/rainturn/node/handover.py
@@ -119,16 +119,20 @@
     def _check_successor(self) -> None:
         record = self._read(SUCCESSOR_FILE)
         if record is not None and record.get("by") != self.name and not self._has_ended(record):
-            if self.successor is None:
-                log.info("handover: to %s", record["by"])
+            is_new, self.successor = self.successor is None, str(record["by"])
+            if is_new:
+                log.info("handover: to %s", self.successor)
                 self.on_overlap(0, True)
-            self.successor = str(record["by"])
             self._write(STATE_FILE, {"for": self.successor, "state": self.current_state()})
         elif self.successor is not None:
             log.warning("handover: %s has ended", self.successor)
             self.successor = None
             self.on_overlap(None, True)
 
+    def other_process(self) -> str | None:
+        """Return the name of the other process that serves, or None if this one serves alone."""
+        return self.predecessor or self.successor
+
     def announce_end(self) -> None:
         """Record in the state file that this process is about to end, and stop checking the files."""
         if self.task is not None:
--- a/rainturn/node/memory_account.py
+++ b/rainturn/node/memory_account.py
@@ -25,10 +25,20 @@
 
     def __init__(self, limit_bytes: int, loop: asyncio.AbstractEventLoop) -> None:
         self.limit_bytes, self.loop = limit_bytes, loop
+        self.sole_limit_bytes = self.shared_limit_bytes = limit_bytes
         self.held_bytes = 0
         self._waiting: list[Callable[[], None]] = []
         self._is_waking = False
 
+    def set_limits(self, sole_limit_bytes: int, shared_limit_bytes: int) -> None:
+        """Set the limits in bytes for a process that serves alone, and for one that serves beside another."""
+        self.sole_limit_bytes, self.shared_limit_bytes = sole_limit_bytes, shared_limit_bytes
+        self.share(False)
+
+    def share(self, is_shared: bool) -> None:
+        """Apply the limit for a process that serves beside another one, or alone."""
+        self.limit_bytes = self.shared_limit_bytes if is_shared else self.sole_limit_bytes
+
     @property
     def free_bytes(self) -> int:
         """How many more bytes may be held."""
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -88,6 +88,7 @@
         "is_finished",
         "deadline_timer",
         "may_have_run",
+        "client_has_left",
         "held_bytes",
         "body",
         "value_pieces",
@@ -127,6 +128,7 @@
         self.attempts: list[Attempt | None] = []  # by number; None: the attempt has ended
         self.open_attempts = 0
         self.is_finished = False  # whether its final reply is decided or its client has left
+        self.client_has_left = False  # whether it left before the final reply
         self.may_have_run = False  # whether an ended attempt may have run at its host
         self.deadline_timer: asyncio.TimerHandle | None = None
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -366,7 +366,7 @@
         attempts = module.attempts
         state: dict[str, list[Any]] = {
             "clients": [self.parts.clients.connections, *self.parts.clients.timeouts.states],
-            "requests": [node.requests, node.request_ids, node.unanswered, node.memory.held_bytes],
+            "requests": [node.requests, node.request_ids.open, node.unanswered, node.memory.held_bytes],
             "module": [attempts.open, attempts.queued, attempts.ended],
             "customers": [(c.open_attempts, c.waiting, c.slot_queue) for c in module.customers.values()],
             "hosts": [host.open_attempts for host in module.hosts.values()],
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -238,7 +238,8 @@
             assert await client.read_answer() == b"value"
             other.send_request(b"1")
             assert await other.read_answer() == b"value"
-            assert not setup.parts.node.request_ids
+            ids = setup.parts.node.request_ids
+            assert not (ids.open or ids.remembered)
 
     run(main())
 
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -164,6 +164,9 @@
                 assert await client.read_answer() == b"x%d" % n
                 client.writer.close()
             assert await new.metric("handled.read.passed") == 20
+            again = await Client.connect(address)
+            again.send_request(b"held")  # which the other process has sent to its host
+            assert "is open" in str(await again.read_answer())
             release.set()
             assert await busy.read_answer() == b"held"
             assert await with_timeout(busy.reader.read()) == b""
