Slow hosts are not taken for still, and slow uploads get their final answer in time

A host that wrote an answer of 60 KB with pauses of 0.7 s, or a longer one with a pause of 4.6 s, was cut off; a long value with commands behind it was refused at its deadline while its host still gave it; a request of 4 MiB that its host read at 100 KB a second, with a time of 1 s, got no answer within 10 s.

Cause: limits of 0.5, 4 and 3 s on single pauses, whatever time the request has left. A value that is buffered whole had no way out at its deadline.

--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -80,6 +80,9 @@
         """Return the largest size: simulated hosts send no long values."""
         return READ_SIZE
 
+    def send_as_it_arrives(self, request: Request) -> None:
+        """Do nothing: simulated hosts send no long values."""
+
     def end_value(self, request: Request) -> None:
         """Do nothing: simulated hosts send no long values."""
 
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -61,6 +61,11 @@
         self._update_reading()
         return has_begun
 
+    def send_as_it_arrives(self, request: Request) -> None:
+        """Send a long value as it arrives, and read no commands until it has been sent."""
+        super().send_as_it_arrives(request)
+        self._update_reading()
+
     def _has_commands_behind(self, request: Request) -> bool:
         """Return whether commands behind the one of this request have been read, or are still being read.
 
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -104,6 +104,13 @@
         """Return how long the next piece of a long value may be, in bytes."""
         return request.reserved_bytes or self.output.room()
 
+    def send_as_it_arrives(self, request: Request) -> None:
+        """Send a long value from now on as it arrives that was to be buffered whole."""
+        request.is_buffered_whole = False
+        self.queued_bytes -= request.reserved_bytes
+        request.reserved_bytes = 0
+        self._flush()
+
     def end_value(self, request: Request) -> None:
         """End a long value that is complete."""
         self._reply_to_request(request, b"\r\n")
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -45,6 +45,9 @@
     def piece_size_limit(self, request: Request) -> int:
         """Return how long the next piece of a long value may be, in bytes."""
 
+    def send_as_it_arrives(self, request: Request) -> None:
+        """Send a long value from now on as it arrives that was to be buffered whole."""
+
     def end_value(self, request: Request) -> None:
         """End a complete long value."""
 
@@ -59,6 +62,9 @@
 class ValueSource(Protocol):
     """The source of a long value: a connection to a host."""
 
+    def is_giving(self) -> bool:
+        """Return whether it still makes progress."""
+
     def resume_value(self) -> None:
         """Send more of the value."""
 
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -71,6 +71,8 @@
     def piece_size_limit(self, request: Request) -> int:
         return 1 << 16
 
+    def send_as_it_arrives(self, request: Request) -> None: ...
+
     def end_value(self, request: Request) -> None: ...
 
     def withdraw_value(self, request: Request) -> bool:
@@ -622,7 +624,11 @@
     run(main())
 
 
-def test_a_malformed_answer_ends_its_attempt_at_once_as_one_that_may_have_run() -> None:
+def test_a_malformed_answer_ends_its_attempt_at_once_as_one_that_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(host_connection, "STALL_LIMIT_S", 0.5)  # ends the answer that is a header alone
+
     async def main() -> None:
         for malformed in (
             b"HTTP/1.1 200 OK\r\n",
--- /dev/null
+++ b/tests/test_slow_hosts.py
@@ -0,0 +1,138 @@
+"""Hosts that write or read slowly, and make progress, are not taken for still; final answers come in time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from rainturn.node import host_connection
+from tests.sockets import Client, GatewaySetup, run, success_answer, with_timeout
+
+VALUE = b"0123456789abcdef" * (1 << 14)  # 256 KiB
+LATE_ANSWER_S = 0.5  # later than this after its time a request counts as lost
+BODY_BYTES = 4 << 20
+
+
+class SlowWriter:
+    """A host that writes each answer in pieces, with a pause before each."""
+
+    def __init__(self, pauses_s: list[float]) -> None:
+        self.pauses_s = pauses_s
+
+    async def start(self, setup: GatewaySetup, value: bytes) -> asyncio.Server:
+        """Listen in place of the setup's only host; requests named `short` are answered at once."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(1 << 16):
+                if b"short" in data:
+                    writer.write(success_answer(b"short"))
+                    continue
+                answer, count = success_answer(value), len(self.pauses_s)
+                for n, pause_s in enumerate(self.pauses_s):
+                    await asyncio.sleep(pause_s)
+                    writer.write(answer[len(answer) * n // count : len(answer) * (n + 1) // count])
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
+        return server
+
+
+@pytest.mark.parametrize("class_name", [b"read", b"pay"])
+def test_a_short_answer_that_its_host_writes_slowly_is_whole(class_name: bytes) -> None:
+    """Guards against a limit on each pause that is far shorter than the request's time."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await SlowWriter([0.0, 0.7, 0.7]).start(setup, VALUE[:60_000])
+            client = await setup.client()
+            client.send_request(b"slow", class_name, body=None if class_name == b"read" else b"x")
+            assert await client.read_answer() == VALUE[:60_000]
+            server.close()
+
+    run(main())
+
+
+def test_a_long_answer_that_its_host_writes_slowly_is_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an end of a value whose pieces come far apart."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await SlowWriter([0.0, 4.6]).start(setup, VALUE)
+            client = await setup.client()
+            client.send_request(b"slow")
+            assert await client.read_answer() == VALUE
+            server.close()
+
+    run(main())
+
+
+def test_a_long_answer_with_commands_behind_it_is_not_cut_at_its_deadline() -> None:
+    """Guards against the end of a value that is buffered whole while its host still gives it."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await SlowWriter([0.1] + [0.3] * 6).start(setup, VALUE)
+            client = await setup.client()
+            client.send_request(b"slow", time_limit_ms=1000)
+            client.send_request(b"short", time_limit_ms=1000)
+            assert await client.read_answer() == VALUE
+            assert await client.read_answer() == b"short"
+            server.close()
+
+    run(main())
+
+
+def test_a_value_that_stands_still_at_its_deadline_does_not_take_the_replies_behind_it_along() -> None:
+    """The counterpart of the test above: it is withdrawn, and the requests behind it are answered."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await SlowWriter([0.0, 9.0]).start(setup, VALUE)
+            client = await setup.client()
+            client.send_request(b"slow", time_limit_ms=1000)
+            client.send_request(b"short", time_limit_ms=1000)
+            assert await client.read_answer() == "-BUSY"
+            assert await client.read_answer() == b"short"
+            server.close()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(host_connection, "PROGRESS_LIMIT_S", 0.5)
+        run(main())
+
+
+@pytest.mark.parametrize("account_bytes", [300_000, 64 << 20])
+def test_a_request_that_its_host_reads_slowly_gets_its_final_answer_in_time(account_bytes: int) -> None:
+    """Guards against a time that begins when the gateway reads the last byte, long after it was written."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            setup.parts.node.memory.limit_bytes = account_bytes
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            listener.setblocking(False)
+            setup.parts.pools.pools[1].address = listener.getsockname()
+            reading = asyncio.create_task(_read_slowly(listener))
+            client = await setup.client()
+            started = time.monotonic()
+            client.send_request(b"slow", b"pay", body=bytes(BODY_BYTES), time_limit_ms=1000)
+            assert await _answer_time(client, started) <= 1.0 + LATE_ANSWER_S
+            reading.cancel()
+            listener.close()
+
+    run(main())
+
+
+async def _read_slowly(listener: socket.socket) -> None:
+    """Accept a connection and read 100 KB a second."""
+    loop = asyncio.get_running_loop()
+    sock, _ = await loop.sock_accept(listener)
+    while await loop.sock_recv(sock, 10_000):
+        await asyncio.sleep(0.1)
+
+
+async def _answer_time(client: Client, started: float) -> float:
+    await with_timeout(client.read_answer())
+    return time.monotonic() - started
