--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -65,7 +65,7 @@
         """Count a failed request."""
         self.outcome_counts["failed"] += 1
 
-    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
+    def begin_value(self, request: Request, length: int) -> bool:
         """Return True: simulated hosts send no long values."""
         return True
 
@@ -80,9 +80,6 @@
         """Return the largest size: simulated hosts send no long values."""
         return READ_SIZE
 
-    def send_as_it_arrives(self, request: Request) -> None:
-        """Do nothing: simulated hosts send no long values."""
-
     def end_value(self, request: Request) -> None:
         """Do nothing: simulated hosts send no long values."""
 
--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -162,12 +162,7 @@
 
     def _end_after_cut_value(self) -> None:
         """Close after a part of a long value, once the client's machine has what was sent before."""
-        _, *behind = self.pending
         self.pending.clear()
-        for entry in behind:  # there are some if no memory was left for buffering the value
-            if isinstance(entry, Request):
-                self.node.abandon_request(entry)
-                self._discard_value(entry)
         self._close_gracefully()
 
     def _close_write_side(self) -> None:
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -55,17 +55,12 @@
 
     # Long values.
 
-    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
+    def begin_value(self, request: Request, length: int) -> bool:
         """Begin a long value; if it is sent as it arrives, read no commands until it has been sent."""
-        has_begun = super().begin_value(request, length, may_be_refused)
+        has_begun = super().begin_value(request, length)
         self._update_reading()
         return has_begun
 
-    def send_as_it_arrives(self, request: Request) -> None:
-        """Send a long value as it arrives, and read no commands until it has been sent."""
-        super().send_as_it_arrives(request)
-        self._update_reading()
-
     def _has_commands_behind(self, request: Request) -> bool:
         """Return whether commands behind the one of this request have been read, or are still being read.
 
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -62,17 +62,13 @@
         """Send an error that does not say whether the request has run."""
         self._reply_to_request(request, FAILURE_REPLY)
 
-    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
-        """Begin a long value of `length` bytes; return False if it should be buffered and there is no room.
-
-        Unless `may_be_refused` is set, such a value is sent as it arrives.
-        """
+    def begin_value(self, request: Request, length: int) -> bool:
+        """Begin a long value of `length` bytes; return False if it must be buffered and there is no room."""
         if self._has_commands_behind(request):
-            if self.output.reserve(length):
-                self.queued_bytes += length
-                request.is_buffered_whole, request.reserved_bytes = True, length
-            elif may_be_refused:
+            if not self.output.reserve(length):
                 return False
+            self.queued_bytes += length
+            request.is_buffered_whole, request.reserved_bytes = True, length
         self.send_piece(request, b"$%d\r\n" % length)
         return True
 
@@ -104,13 +100,6 @@
         """Return how long the next piece of a long value may be, in bytes."""
         return request.reserved_bytes or self.output.room()
 
-    def send_as_it_arrives(self, request: Request) -> None:
-        """Send a long value from now on as it arrives that was to be buffered whole."""
-        request.is_buffered_whole = False
-        self.queued_bytes -= request.reserved_bytes
-        request.reserved_bytes = 0
-        self._flush()
-
     def end_value(self, request: Request) -> None:
         """End a long value that is complete."""
         self._reply_to_request(request, b"\r\n")
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -222,12 +222,9 @@
     def _on_deadline(self, request: Request) -> None:
         """End the attempts as timed out, and then the request itself if it is still open.
 
-        A value that is being sent as it arrives has begun in time; its attempt goes on. One that was to be
-        buffered whole is sent as it arrives if its host still gives it: the client has waited long enough.
+        A value that is being sent as it arrives has begun in time; its attempt goes on.
         """
         request.deadline_timer = None
-        if request.transfer is not None and request.transfer.source.is_giving():
-            request.client.send_as_it_arrives(request)
         for attempt in request.attempts:
             if attempt is not None and not (request.is_streaming() and request.is_fed_by(attempt)):
                 self._time_out(attempt)
@@ -354,7 +351,7 @@
         if not request.is_unanswered():
             return False
         request.transfer = ValueTransfer(attempt, source)
-        if not request.client.begin_value(request, length, self._may_refuse(request)):
+        if not request.client.begin_value(request, length):
             request.transfer = None
             self.end_request_now(request)
             return False
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -29,7 +29,6 @@
     10.0  # longest pause between two pieces of a long value, which is streamed to the client
 )
 FIELDS_LIMIT_S = 0.5  # how long the fields after a value may take
-PROGRESS_LIMIT_S = 2.0  # a value with no piece for longer may never be whole
 UPLOAD_STALL_LIMIT_S = 10.0  # how long a host may accept no byte of a streamed request body
 MIN_READ_BYTES = MIN_ANSWER_BYTES = MIN_HOLDING_BYTES  # what is read of an answer whatever the account holds
 
@@ -85,7 +84,6 @@
         self.unsent_bytes = 0  # written since the write buffer was last empty
         self.reserved_bytes = 0  # for an answer that is buffered whole
         self.value_bytes_left: int | None = None  # remaining bytes of a streamed value
-        self.piece_came_at = 0.0  # when its last piece came, event loop time in s
         self.fields_after_value = 0  # number of fields that follow the streamed value
         self.fields_expected: int | None = None  # number of fields after a complete value; None before that
         self.reading_paused = False  # whether reading waits for the client, or for room for the answer
@@ -258,7 +256,6 @@
         request = attempt.request
         if request.is_finished or not request.is_fed_by(attempt):
             return self.close(it.Outcome.CANCELLED)
-        self.piece_came_at = self.pool.node.loop.time()
         piece = data[: self.value_bytes_left]
         self.value_bytes_left -= len(piece)
         if piece:
@@ -278,11 +275,6 @@
             return self._cancel_stall_timer()
         self._set_stall_timer(VALUE_STALL_LIMIT_S, self.fail)
 
-    def is_giving(self) -> bool:
-        """Return whether pieces of a value have come lately, or would if more of them were read."""
-        pause_s = self.pool.node.loop.time() - self.piece_came_at
-        return not self.closed and (self.reading_paused or pause_s <= PROGRESS_LIMIT_S)
-
     def resume_value(self) -> None:
         """Continue to read a streamed value once the client accepts more."""
         if self.reading_paused and not self.closed:
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -29,11 +29,10 @@
     def is_present(self) -> bool:
         """Return whether the client is known to be connected; False too while that cannot be told."""
 
-    def begin_value(self, request: Request, length: int, may_be_refused: bool) -> bool:
+    def begin_value(self, request: Request, length: int) -> bool:
         """Begin a long value of `length` bytes; return False if there is no room for one that must wait.
 
-        A value whose commands behind it have been read is sent only once it is whole, if there is room. It is
-        sent as it arrives if there is none and it may not be refused.
+        A value whose commands behind it have been read is sent only once it is whole.
         """
 
     def send_piece(self, request: Request, data: bytes) -> None:
@@ -45,9 +44,6 @@
     def piece_size_limit(self, request: Request) -> int:
         """Return how long the next piece of a long value may be, in bytes."""
 
-    def send_as_it_arrives(self, request: Request) -> None:
-        """Send a long value from now on as it arrives that was to be buffered whole."""
-
     def end_value(self, request: Request) -> None:
         """End a complete long value."""
 
@@ -62,9 +58,6 @@
 class ValueSource(Protocol):
     """The source of a long value: a connection to a host."""
 
-    def is_giving(self) -> bool:
-        """Return whether it still makes progress."""
-
     def resume_value(self) -> None:
         """Send more of the value."""
 
