--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -88,6 +88,14 @@
     return await asyncio.wait_for(awaitable, TIMEOUT_S)
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail after `TIMEOUT_S`."""
+    end = asyncio.get_running_loop().time() + TIMEOUT_S
+    while not condition():
+        assert asyncio.get_running_loop().time() < end
+        await asyncio.sleep(0.001)
+
+
 def ample_memory(loop: asyncio.AbstractEventLoop | None = None) -> MemoryAccount:
     """Return an account that is never full."""
     return MemoryAccount(1 << 40, loop or asyncio.get_running_loop())
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -14,12 +13,12 @@
 from rainturn.node.input_buffer import InputBuffer
 from rainturn.node.resp import encode_array
 from tests.sockets import (
-    TIMEOUT_S,
     BlockingHandler,
     Client,
     GatewaySetup,
     run,
     success_answer,
+    wait_until,
     with_timeout,
 )
 
@@ -32,13 +31,6 @@
 SMALL_ACCOUNT_BYTES = 300_000
 
 
-async def _wait_until(condition: Callable[[], bool]) -> None:
-    end = asyncio.get_running_loop().time() + TIMEOUT_S
-    while not condition():
-        assert asyncio.get_running_loop().time() < end
-        await asyncio.sleep(0.005)
-
-
 def _encode_pay(request_id: bytes, body: bytes) -> bytes:
     fields = b"c=pay,t=basic,d=5000,units=1,spread=1,first=0"
     return encode_array([b"API.WRITE", b"00000000b4d65521", request_id, fields, body])
@@ -73,9 +65,9 @@
         async with GatewaySetup(held := BlockingHandler(), settings=ONE_SLOT) as setup:
             holder = await _occupy_slot(setup)
             departing = await _send_all(setup, _encode_pay(b"departed", LONG_BODY))
-            await _wait_until(lambda: b"departed" in _unfinished_ids(setup))
+            await wait_until(lambda: b"departed" in _unfinished_ids(setup))
             departing.close()
-            await _wait_until(lambda: _unfinished_ids(setup) == [b"holder"])
+            await wait_until(lambda: _unfinished_ids(setup) == [b"holder"])
             assert not (await setup.metrics())["handled.pay.dropped"]  # it was not merely given up
             held.released.set()
             assert await holder.read_answer() == b"value"
@@ -103,12 +95,10 @@
             commands = b"".join(_encode_pay(b"%d" % number, SHORT_BODY) for number in range(command_count))
             departing = await _send_all(setup, commands)
             node = setup.parts.node
-            await _wait_until(
-                lambda: node.last_request_number > (MAX_PENDING if account_bytes is None else 1)
-            )
+            await wait_until(lambda: node.last_request_number > (MAX_PENDING if account_bytes is None else 1))
             refused = (await setup.metrics())["handled.pay.dropped"]
             departing.close()
-            await _wait_until(lambda: _unfinished_ids(setup) == [b"holder"])
+            await wait_until(lambda: _unfinished_ids(setup) == [b"holder"])
             if account_bytes is None:
                 assert (await setup.metrics())["handled.pay.dropped"] == refused  # none was merely given up
             held.released.set()
@@ -158,11 +148,11 @@
             client.send_request(b"body", b"pay", body=bytes(body_length))
             for number in range(MAX_PENDING):
                 client.send_request(b"%d" % number, b"pay", body=SHORT_BODY)
-            await _wait_until(lambda: any(c.is_blocked() for c in _inputs(setup)))
+            await wait_until(lambda: any(c.is_blocked() for c in _inputs(setup)))
             client.writer.close()
             await client.writer.wait_closed()
             may_read.set()
-            await _wait_until(lambda: not setup.parts.clients.connections)
+            await wait_until(lambda: not setup.parts.clients.connections)
             await setup.wait_until_idle()
             command = b"".join(received)
             assert len(command) < body_length or not command.endswith(b"\r\n")
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 
 from rainturn.node.client_closing import ClosingConnection
 from rainturn.node.resp import count_unsent_bytes, encode_array
-from tests.sockets import TIMEOUT_S, GatewaySetup, run, success_answer, with_timeout
+from tests.sockets import GatewaySetup, run, success_answer, wait_until, with_timeout
 
 LONG_VALUE = b"0123456789abcdef" * (1 << 18)  # 4 MiB, more than the buffers of the system hold
 RECEIVE_BUFFER = 1 << 16  # bytes that the client's machine accepts before the client reads
@@ -51,19 +50,22 @@
         return bytes(data)
 
 
-async def _wait_until(condition: Callable[[], bool]) -> None:
-    end = asyncio.get_running_loop().time() + TIMEOUT_S
-    while not condition():
-        assert asyncio.get_running_loop().time() < end
-        await asyncio.sleep(0.001)
-
-
 async def _only_connection(setup: GatewaySetup) -> ClosingConnection:
-    await _wait_until(lambda: len(setup.parts.clients.connections) == 1)
+    await wait_until(lambda: len(setup.parts.clients.connections) == 1)
     (connection,) = setup.parts.clients.connections
     return connection
 
 
+async def _read_until_all_is_written(setup: GatewaySetup) -> tuple[SlowReader, ClosingConnection, bytes]:
+    """Ask for a long value, and read no more of it than lets the gateway write all of it."""
+    client = await SlowReader.connect(setup)
+    await client.send(encode_read(b"first"))
+    connection, data = await _only_connection(setup), b""
+    while connection not in setup.parts.clients.timeouts.idle:
+        data += await client.read(10_000)
+    return client, connection, data
+
+
 def _is_open(connection: ClosingConnection) -> bool:
     return not connection.transport.is_closing()
 
@@ -83,13 +85,13 @@
             client = await SlowReader.connect(setup)
             await client.send(encode_read(b"first") + encode_read(b"second") + encode_read(b"late"))
             connection = await _only_connection(setup)
-            await _wait_until(lambda: connection.writing_paused and bool(connection.pending))
-            await _wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
+            await wait_until(lambda: connection.writing_paused and bool(connection.pending))
+            await wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
             unsent_bytes = count_unsent_bytes(connection.transport)
             whole = encoded_value(LONG_VALUE) * 3
             data = await client.read(1 << 20)
             released.set()
-            await _wait_until(
+            await wait_until(
                 lambda: not connection.pending or count_unsent_bytes(connection.transport) >= unsent_bytes
             )
             connection.check_write_progress()
@@ -109,8 +111,8 @@
             client = await SlowReader.connect(setup)
             await client.send(encode_read(b"first"))
             connection = await _only_connection(setup)
-            await _wait_until(lambda: connection.writing_paused)
-            await _wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
+            await wait_until(lambda: connection.writing_paused)
+            await wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
             connection.check_write_progress()
             assert not _is_open(connection)
             client.sock.close()
@@ -123,20 +125,15 @@
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer(LONG_VALUE)) as setup:
-            client = await SlowReader.connect(setup)
-            await client.send(encode_read(b"first"))
-            connection = await _only_connection(setup)
+            client, connection, data = await _read_until_all_is_written(setup)
             whole = encoded_value(LONG_VALUE)
-            data = b""
-            while connection not in setup.parts.clients.timeouts.idle:
-                data += await client.read(10_000)
             assert count_unsent_bytes(connection.transport)
             connection.close_if_silent()
             assert _is_open(connection) and not connection.closing
             assert connection in setup.parts.clients.timeouts.idle
             data += await client.read(len(whole) - len(data))
             assert data == whole
-            await _wait_until(lambda: not count_unsent_bytes(connection.transport))
+            await wait_until(lambda: not count_unsent_bytes(connection.transport))
             connection.close_if_silent()
             assert not await client.read(1)
             client.sock.close()
@@ -149,13 +146,8 @@
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer(LONG_VALUE)) as setup:
-            client = await SlowReader.connect(setup)
-            await client.send(encode_read(b"first"))
-            connection = await _only_connection(setup)
+            client, connection, data = await _read_until_all_is_written(setup)
             whole = encoded_value(LONG_VALUE)
-            data = b""
-            while connection not in setup.parts.clients.timeouts.idle:
-                data += await client.read(10_000)
             setup.parts.clients.drain()
             for _ in range(3):  # as if the limit had expired again and again
                 connection.abort_if_replies_sent()
@@ -163,7 +155,7 @@
             data += await client.read(len(whole) - len(data))
             assert data == whole
             assert not await client.read(1)
-            await _wait_until(lambda: not count_unsent_bytes(connection.transport))
+            await wait_until(lambda: not count_unsent_bytes(connection.transport))
             connection.abort_if_replies_sent()
             assert not _is_open(connection)
             client.sock.close()
