Tests: the slow reader's late value is always buffered whole and written at once

A short command now stands behind the value; the test asks for the same, and that the unsent bytes have grown.

--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -79,21 +79,21 @@
         async def answer_in_two_parts(words: list[bytes]) -> bytes:
             if words[2] == b"late":
                 await released.wait()
-            return success_answer(LONG_VALUE)
+            return success_answer(b"short" if words[2] == b"last" else LONG_VALUE)
 
         async with GatewaySetup(answer_in_two_parts) as setup:
             client = await SlowReader.connect(setup)
-            await client.send(encode_read(b"first") + encode_read(b"second") + encode_read(b"late"))
+            # The last command has the values before it buffered whole and written at once.
+            await client.send(encode_read(b"first") + encode_read(b"late") + encode_read(b"last"))
             connection = await _only_connection(setup)
-            await wait_until(lambda: connection.writing_paused and bool(connection.pending))
+            await wait_until(lambda: connection.writing_paused and len(connection.pending) == 2)
             await wait_until(lambda: not connection.send_progress.has_advanced(connection.transport))
             unsent_bytes = count_unsent_bytes(connection.transport)
-            whole = encoded_value(LONG_VALUE) * 3
+            whole = encoded_value(LONG_VALUE) * 2 + encoded_value(b"short")
             data = await client.read(1 << 20)
             released.set()
-            await wait_until(
-                lambda: not connection.pending or count_unsent_bytes(connection.transport) >= unsent_bytes
-            )
+            await wait_until(lambda: not connection.pending)
+            assert count_unsent_bytes(connection.transport) > unsent_bytes
             connection.check_write_progress()
             assert _is_open(connection)
             data += await client.read(len(whole) - len(data))
