--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -19,9 +19,10 @@
     wire_settings,
     zone_names,
 )
+from rainturn.node.clock import Clock
 from rainturn.node.counter_client import CounterClient
 from rainturn.node.discovery import Discovery
-from rainturn.node.gateway import Clock, Node
+from rainturn.node.gateway import Node
 from rainturn.node.host_pools import HostPools
 from rainturn.node.input_buffer import READ_SIZE
 from rainturn.node.memory_account import MemoryAccount
--- a/rainturn/emulator/virtual_fleet.py
+++ b/rainturn/emulator/virtual_fleet.py
@@ -15,7 +15,7 @@
 from rainturn.emulator.traffic import Traffic
 from rainturn.emulator.virtual_time import VirtualClock, VirtualLoop
 from rainturn.emulator.workload import DrawnRequest, Tenants, make_host_entries
-from rainturn.node.gateway import Request
+from rainturn.node.requests import Request
 
 UNUSED_HOST_ADDRESSES = ("127.0.0.1:9",)  # no connection is opened to it
 
--- a/rainturn/emulator/virtual_time.py
+++ b/rainturn/emulator/virtual_time.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from rainturn.node.gateway import Clock
+from rainturn.node.clock import Clock
 
 LATENCY_S = 0.0005  # one way, within a region and between regions
 EPOCH_MS = 1.7e12  # Unix time at which each run begins
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -10,11 +10,12 @@
 
 from rainturn import interface as it
 from rainturn.node.client_listener import ClientListener
+from rainturn.node.clock import Clock
 from rainturn.node.configuration import Config
 from rainturn.node.control import MAX_CONNECTIONS, Answer, ControlListener, Route
 from rainturn.node.counter_client import CounterClient
 from rainturn.node.discovery import Discovery
-from rainturn.node.gateway import Clock, Node
+from rainturn.node.gateway import Node
 from rainturn.node.host_pools import HostPools
 from rainturn.node.memory_account import MemoryAccount, account_limit, customer_limit, resident_bytes
 from rainturn.settings import Names
--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -137,7 +137,7 @@
         """
         for entry in list(self.pending):
             if isinstance(entry, Request) and not entry.is_finished and not entry.is_streaming():
-                self.node.end_request_now(entry)
+                self.node.endings.end_now(entry)
 
     # Closing.
 
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -48,7 +48,7 @@
                 self._execute([*body.arguments, b"".join(body.pieces)], arrived_at)
         else:
             if request is not None:
-                self.node.complete_body(request, arrived_at + request.time_limit_ms)
+                self.node.complete_body(request, arrived_at)
             body.finish_receiving()
             if not self.pending:
                 self._on_all_answered()
@@ -93,15 +93,15 @@
             return
         for entry in list(self.pending):
             if isinstance(entry, Request) and entry.is_unanswered() and not entry.is_begun():
-                self.node.end_request_now(entry)
+                self.node.endings.end_now(entry)
         request = self.upload_request
         if request is not None and not request.is_finished:
-            self.node.limit_upload(request, self.arrivals.blocked_since + request.time_limit_ms)
+            self.node.deadlines.begin_time(request, self.arrivals.blocked_since)
 
     def _on_dry(self) -> None:
         """Go on with what had to wait until the client was known to be connected."""
         if self.upload_request is not None:
-            self.node.lift_upload_limit(self.upload_request)
+            self.node.deadlines.withdraw_time(self.upload_request)
         for entry in list(self.pending):
             if isinstance(entry, Request) and entry.body is not None:
                 entry.body.forward()
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -6,7 +6,7 @@
 import math
 from collections import deque
 
-from rainturn.node.gateway import Clock
+from rainturn.node.clock import Clock
 from rainturn.node.input_buffer import READ_SIZE
 from rainturn.node.memory_account import Holding, MemoryAccount
 from rainturn.node.requests import Request
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -4,63 +4,30 @@
 
 import asyncio
 import logging
-import math
-import time
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 from rainturn import interface as it
 from rainturn.decisions import Gateway
+from rainturn.node.clock import Clock
 from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.metrics import Ending, Metrics
+from rainturn.node.outgoing_calls import AttemptRunner, CounterCaller
+from rainturn.node.request_deadlines import RequestDeadlines
+from rainturn.node.request_endings import RequestEndings
 from rainturn.node.request_ids import RequestIds
 from rainturn.node.requests import Attempt, Request, ValueSource, ValueTransfer
 
-__all__ = ["Attempt", "AttemptRunner", "Clock", "CounterCaller", "Node", "Request"]
-
 log = logging.getLogger(__name__)
 
 TIMER_RECHECK_MS = 20.0  # delay before the timers are checked after an exception in the decision module
 
 
-class Clock:
-    """Unix time in ms at the start plus the monotonic time since then, so that it never jumps.
-
-    `base_ms` is the Unix time in ms at which the monotonic clock is 0. A successor takes it over from another
-    process of this machine, because the wall clock may have been set in between.
-    """
-
-    def __init__(self, base_ms: float | None = None) -> None:
-        self.base_ms = time.time() * 1000.0 - time.monotonic() * 1000.0 if base_ms is None else base_ms
-
-    def now(self) -> float:
-        """Return the Unix time in ms."""
-        return self.base_ms + time.monotonic() * 1000.0
-
-
 def longest_window_ms(settings: it.Settings) -> float:
     """Return how long a request may still have effects after its client has left, by all classes."""
     return max((max(c.deadline_ms, c.window_ms) for c in settings.classes), default=0.0)
 
 
-class AttemptRunner(Protocol):
-    """Sends attempts to hosts."""
-
-    def start(self, attempt: Attempt) -> None:
-        """Begin an attempt. Its end is reported with `Node.end_attempt`."""
-
-    def drop(self, attempt: Attempt) -> None:
-        """Stop waiting for an attempt."""
-
-
-class CounterCaller(Protocol):
-    """Makes calls to the shared counter."""
-
-    def call(self, name: int, amount: float, ttl: float) -> None:
-        """Begin a call. Its outcome is passed to `Node.dispatch`."""
-
-
 class Node:
     """Passes events to the decision module in order and carries out the actions that it returns."""
 
@@ -78,6 +45,8 @@
         self.hosts: AttemptRunner
         self.counter: CounterCaller
         self.requests: dict[int, Request] = {}
+        self.deadlines = RequestDeadlines(clock, loop, self._on_deadline)
+        self.endings = RequestEndings(self)
         self.request_ids = RequestIds(longest_window_ms(settings))
         self.last_request_number = self.unanswered = 0
         self._events: deque[it.Event] = deque()
@@ -152,7 +121,7 @@
             else:
                 self.request_ids.discard(request.arguments[2])
             self.memory.change(-request.held_bytes)
-            self._cancel_deadline(request)
+            self.deadlines.cancel(request)
 
     # Requests.
 
@@ -162,38 +131,14 @@
         self.request_ids.add(request.arguments[2])
         self.unanswered += 1
         self.memory.change(request.held_bytes)
-        if request.body is None:
-            self._set_deadline(request)
+        self.deadlines.start(request)
         self.dispatch(request.arrival)
 
-    def complete_body(self, request: Request, deadline: float) -> None:
-        """Set the deadline (Unix time in ms) of a request whose streamed body has arrived completely."""
-        if not request.is_finished:
-            request.deadline = deadline
-            self._set_deadline(request)
-            self.dispatch(it.BodyComplete(request.number, deadline))
-
-    def limit_upload(self, request: Request, deadline: float) -> None:
-        """Set a deadline (Unix time in ms) for a body whose last byte the client may have written already."""
+    def complete_body(self, request: Request, arrived_at: float) -> None:
+        """Let the time of a request begin whose streamed body is complete since `arrived_at` (Unix ms)."""
         if not request.is_finished:
-            request.deadline = deadline
-            self._set_deadline(request)
-
-    def lift_upload_limit(self, request: Request) -> None:
-        """Remove the deadline of a body whose last byte the client has not written yet."""
-        if not request.is_finished:
-            request.deadline = math.inf
-            self._cancel_deadline(request)
-
-    def _set_deadline(self, request: Request) -> None:
-        self._cancel_deadline(request)
-        delay = max(0.0, request.deadline - self.clock.now()) / 1000
-        request.deadline_timer = self.loop.call_later(delay, self._on_deadline, request)
-
-    def _cancel_deadline(self, request: Request) -> None:
-        if request.deadline_timer is not None:
-            request.deadline_timer.cancel()
-            request.deadline_timer = None
+            self.deadlines.begin_time(request, arrived_at)
+            self.dispatch(it.BodyComplete(request.number, request.deadline))
 
     def in_progress(self) -> int:
         """Return how many requests have arrived completely and have not ended."""
@@ -205,26 +150,17 @@
             return
         request.client_has_left = True
         is_pointless = not request.is_forwarded_whole() or request.transfer is not None
-        self._finish_request(request, None)
+        self.endings.finish(request, None)
         self.dispatch(it.RequestGone(request.number))
         if is_pointless:  # an incomplete command never runs, and a value has no recipient
-            self._drop_attempts(request)
+            self.endings.drop_attempts(request)
         self._forget_if_finished(request.number)
 
-    def _drop_attempts(self, request: Request) -> None:
-        """End all attempts of a request whose answers nobody needs."""
-        for attempt in request.attempts:
-            if attempt is not None:
-                outcome = it.Outcome.CANCELLED if attempt.is_out() else it.Outcome.NOT_SENT
-                self.hosts.drop(attempt)
-                self.end_attempt(attempt, outcome)
-
     def _on_deadline(self, request: Request) -> None:
         """End the attempts as timed out, and then the request itself if it is still open.
 
         A value that is being sent as it arrives has begun in time; its attempt goes on.
         """
-        request.deadline_timer = None
         for attempt in request.attempts:
             if attempt is not None and not (request.is_streaming() and request.is_fed_by(attempt)):
                 self._time_out(attempt)
@@ -232,75 +168,17 @@
             # Guards against a request that the decision module has lost or holds too long: rule 1 demands a
             # reply to every request.
             log.warning("request without a reply at its deadline")
-            self.end_request_now(request)
+            self.endings.end_now(request)
         self._forget_if_finished(request.number)
 
-    def end_request_now(self, request: Request) -> None:
-        """Send the final reply without the decision module: a refusal where rule 2 allows one."""
-        transfer = request.transfer
-        self._withdraw_value(request)
-        if not request.is_finished:
-            self._give_up(request)
-        if transfer is not None:
-            self.hosts.drop(transfer.attempt)
-            self.end_attempt(transfer.attempt, it.Outcome.CANCELLED)
-
-    def _give_up(self, request: Request) -> None:
-        """Send a refusal if a repeat is harmless, otherwise a failure, without the decision module."""
-        if self._may_refuse(request):
-            self._finish_request(request, Ending.DROPPED)
-            request.client.send_refusal(request, 0.0, math.inf)
-        else:
-            self._finish_request(request, Ending.BAD_GATEWAY)
-            request.client.send_failure(request)
-        self.dispatch(it.RequestGone(request.number))
-        if not request.is_forwarded_whole():
-            self._drop_attempts(request)
-
-    def _may_refuse(self, request: Request) -> bool:
-        """Return whether a repeat of this request is harmless."""
-        effect = self.settings.classes[request.arrival.request_class].effect
-        return effect is it.Effect.SAFE or not request.may_run()
-
-    def _withdraw_value(self, request: Request) -> None:
-        """Take back a long value that cannot be completed; this ends the request if a part of it was sent."""
-        if request.transfer is None:
-            return
-        is_answerable = request.client.withdraw_value(request)
-        request.transfer = None
-        if not is_answerable:
-            self._finish_request(request, Ending.BAD_GATEWAY)
-            self.dispatch(it.RequestGone(request.number))
-
-    def _finish_request(self, request: Request, ending: Ending | None) -> None:
-        """Mark a request as ended, once. An ending of None means that its client left; it is not counted."""
-        request.is_finished = True
-        if request.body is not None:
-            request.body.discard_rest()
-        if ending is not None:
-            self.metrics.count_ending(request.arrival.request_class, ending)
-        self.unanswered -= 1
-
-    def _answerable_request(self, number: int) -> Request | None:
-        """Return the request if a final reply can still be sent.
-
-        Returns None if it has ended since the action was decided, or if a long value has begun.
-        """
-        request = self.requests.get(number)
-        return request if request is not None and request.is_unanswered() else None
-
     def _refuse(self, action: it.Refuse, now: float) -> None:
-        request = self._answerable_request(action.request)
-        if request is not None:
-            self._finish_request(request, Ending.DROPPED)
-            request.client.send_refusal(request, action.backoff, action.harmless_until)
+        if (request := self.requests.get(action.request)) is not None:
+            self.endings.refuse(request, action.backoff, action.harmless_until)
         self._forget_if_finished(action.request)
 
     def _fail(self, action: it.Fail, now: float) -> None:
-        request = self._answerable_request(action.request)
-        if request is not None:
-            self._finish_request(request, Ending.BAD_GATEWAY)
-            request.client.send_failure(request)
+        if (request := self.requests.get(action.request)) is not None:
+            self.endings.fail(request)
         self._forget_if_finished(action.request)
 
     # Attempts.
@@ -353,7 +231,7 @@
         request.transfer = ValueTransfer(attempt, source)
         if not request.client.begin_value(request, length):
             request.transfer = None
-            self.end_request_now(request)
+            self.endings.end_now(request)
             return False
         if request.is_streaming() and attempt.timer is not None:
             attempt.timer.cancel()
@@ -398,14 +276,14 @@
             return False
         if request.is_fed_by(attempt):
             if outcome is not it.Outcome.OK:
-                self._withdraw_value(request)
+                self.endings.withdraw_value(request)
                 return not request.is_finished
             request.transfer = None
-            self._finish_request(request, Ending.PASSED)
+            self.endings.finish(request, Ending.PASSED)
             request.client.end_value(request)
         elif outcome is it.Outcome.OK and not request.is_streaming():
-            self._withdraw_value(request)  # of another attempt, which the client has got nothing of
-            self._finish_request(request, Ending.PASSED)
+            self.endings.withdraw_value(request)  # of another attempt, which the client has got nothing of
+            self.endings.finish(request, Ending.PASSED)
             request.client.send_value(request, value)
         return False
 
--- a/rainturn/node/handover_state.py
+++ b/rainturn/node/handover_state.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from rainturn.node.assembly import Parts
-from rainturn.node.gateway import Clock
+from rainturn.node.clock import Clock
 from rainturn.saved_state import restore_state, save_state
 
 log = logging.getLogger(__name__)
--- a/rainturn/node/shutdown.py
+++ b/rainturn/node/shutdown.py
@@ -39,6 +39,6 @@
     await parts.clients.wait_closed(end - loop.time())
     parts.clients.refuse_all()  # requests queued behind the open ones are read as those end, and refused
     for request in [r for r in node.requests.values() if not r.is_finished]:
-        node.end_request_now(request)
+        node.endings.end_now(request)
     await parts.clients.close()
     await asyncio.sleep(LAST_COUNTS_S)
--- a/tests/test_emulator_services.py
+++ b/tests/test_emulator_services.py
@@ -22,10 +22,12 @@
     wire_settings,
     zone_names,
 )
+from rainturn.node.clock import Clock
 from rainturn.node.counter_client import CounterClient
 from rainturn.node.discovery import Discovery
-from rainturn.node.gateway import Clock, Node, Request
+from rainturn.node.gateway import Node
 from rainturn.node.host_pools import HostPools
+from rainturn.node.requests import Request
 from rainturn.node.resp import encode_array
 from rainturn.settings import names_from, settings_from
 from tests.sockets import Client, ample_memory, run, with_timeout
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -611,7 +611,7 @@
             client.send_request(b"1", b"pay", body=b"x")
             while not held:
                 await asyncio.sleep(0)
-            setup.parts.node.end_request_now(held[0].request)
+            setup.parts.node.endings.end_now(held[0].request)
             assert await client.read_answer() == "-BUSY"
 
     run(main())
--- a/tests/test_node_lists_at_scale.py
+++ b/tests/test_node_lists_at_scale.py
@@ -17,8 +17,9 @@
 from rainturn import interface as it
 from rainturn.node import discovery as discovery_module
 from rainturn.node import list_updater
+from rainturn.node.clock import Clock
 from rainturn.node.discovery import Discovery
-from rainturn.node.gateway import Clock, Node
+from rainturn.node.gateway import Node
 from rainturn.node.host_list import parse_host, parse_update
 from rainturn.node.host_pools import HostPools
 from rainturn.node.list_decoder import MAX_INLINE_BYTES, decode, decode_async
--- a/tests/test_standing_clients.py
+++ b/tests/test_standing_clients.py
@@ -14,7 +14,7 @@
 
 from rainturn import interface as it
 from rainturn.node import client_timeouts
-from rainturn.node.gateway import Attempt, Request
+from rainturn.node.requests import Attempt, Request
 from rainturn.node.resp import encode_array
 from tests.sockets import (
     DEFAULT_SETTINGS,
--- a/tests/test_standing_hosts.py
+++ b/tests/test_standing_hosts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rainturn.node import host_connection
-from rainturn.node.gateway import Attempt, Request
+from rainturn.node.requests import Attempt, Request
 from tests.sockets import (
     DEFAULT_SETTINGS,
     ConnectionEnd,
