Each end of a request, attempt or connection logs and counts one reason

Which limit ended an attempt had to be guessed from times.

Change: EndLog writes a line for each end, with ids, bytes each way, age and time left, and counts it as gateway.ended.KIND.REASON. The decision module says why it refuses or fails (RefusalReason). The log is written by a handler that never waits: with a line for each end, a pipe that nobody reads would have stopped the loop.

Changed tests: the metrics test names the new counts; five tests of the decision module compare whole actions and name the reason. All are stricter than before.

--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -6,7 +6,7 @@
 from rainturn.component import Component, SharedState
 from rainturn.decisions import quota
 from rainturn.decisions.hosts import SUSPECT_FAILURES, HostSelector
-from rainturn.interface import Outcome
+from rainturn.interface import Outcome, RefusalReason
 from rainturn.records import Attempt, Customer, PendingRequest
 from rainturn.timers import HoldTimers
 
@@ -186,16 +186,27 @@
         """Return until when hosts are sure to drop a repeat of a keyed request, even one written late."""
         return first_run.sent_at + request_class.window_ms - MAX_WRITE_DELAY_MS - RECHECK_MS
 
-    def refuse(self, now: float, request: PendingRequest, backoff_ms: float = 0.0) -> None:
+    def refuse(
+        self, now: float, request: PendingRequest, reason: RefusalReason, backoff_ms: float = 0.0
+    ) -> None:
         """Refuse a request at once; `backoff_ms` is when the client may come back, 0 if unknown."""
         self._close(now, request)
-        self.actions.append(it.Refuse(request.id, backoff_ms))
+        self.actions.append(it.Refuse(request.id, backoff_ms, reason=reason))
 
     def _give_up(self, now: float, request: PendingRequest) -> None:
         """End a request: refuse it if a retry by the client is proven harmless (rule 2), else fail it."""
         until = self._retry_harmless_until(request)
+        reason = self._reason_to_give_up(now, request)
         self._close(now, request)
-        self.actions.append(it.Refuse(request.id, 0.0, until) if now < until else it.Fail(request.id))
+        if now < until:
+            self.actions.append(it.Refuse(request.id, 0.0, until, reason))
+        else:
+            self.actions.append(it.Fail(request.id, reason))
+
+    def _reason_to_give_up(self, now: float, request: PendingRequest) -> RefusalReason:
+        if now >= request.deadline - RECHECK_MS:
+            return RefusalReason.DEADLINE
+        return RefusalReason.NOT_REPEATABLE if request.attempts else RefusalReason.HELD_TOO_LONG
 
     def _retry_harmless_until(self, request: PendingRequest) -> float:
         """Return until when a retry has no second effect: nothing has run, or every host drops it."""
--- a/rainturn/decisions/gateway.py
+++ b/rainturn/decisions/gateway.py
@@ -13,6 +13,7 @@
 from rainturn.decisions.metering import QuotaMeter
 from rainturn.decisions.quota import CounterCalls
 from rainturn.decisions.slots import Slots
+from rainturn.interface import RefusalReason
 from rainturn.records import PendingRequest
 
 STALL_MS = 200.0  # a timer this late shows that the gateway itself stalled: what it measured is its own delay
@@ -93,23 +94,24 @@
     def _on_arrived(self, now: float, event: it.Arrived) -> None:
         """Check a new request against the tiers, then the quota; refuse it at once if either denies it."""
         if not 0 <= event.request_class < len(self.settings.classes):
-            return self.actions.append(it.Refuse(event.request))
+            return self.actions.append(it.Refuse(event.request, reason=RefusalReason.UNKNOWN_CLASS))
         request_class = self.settings.classes[event.request_class]
         request = PendingRequest(event, now, request_class, self.rng.random())
         self.open[request.id] = request
         if request.deadline <= now + 2 * RECHECK_MS:  # if held, it would end unanswered
-            return self.attempts.refuse(now, request)
+            return self.attempts.refuse(now, request, RefusalReason.TOO_LITTLE_TIME)
         customer, price, pass_chance = None, 1.0, 1.0
         if 0 <= event.plan < len(self.settings.plans):
             customer = request.customer = self.meter.get_customer(now, event)
             if customer is None:
-                return self.attempts.refuse(now, request)
+                return self.attempts.refuse(now, request, RefusalReason.CUSTOMERS_FULL)
             price, pass_chance = customer.plan.price, self.meter.pass_chance(customer, event.plan)
         tier = self.tiers.tier_of(request_class.worth * price)
         if not self.tiers.admit(tier, pass_chance):
             # The boundary tier has a new budget next period; when lower tiers are admitted is not known.
             left_ms = max(0.0, self.attempts.hold_timers.period_ends - now)
-            self.attempts.refuse(now, request, left_ms if tier == self.tiers.boundary else 0.0)
+            backoff_ms = left_ms if tier == self.tiers.boundary else 0.0
+            self.attempts.refuse(now, request, RefusalReason.TIER, backoff_ms)
         elif customer is None or not customer.plan.rate:
             self.slots.start(now, request)
         else:
--- a/rainturn/decisions/metering.py
+++ b/rainturn/decisions/metering.py
@@ -102,7 +102,7 @@
         """
         if self.calls.enabled and quota.must_refuse(customer, now, request.units):
             self._record_decision(request, customer, False)
-            self.attempts.refuse(now, request, quota.refill_ms(customer, request.units))
+            self._refuse(now, request, customer)
         elif self.calls.enabled and self._should_wait(now, request, customer):
             customer.waiting.append(request)
             self.attempts.hold(now, request)
@@ -135,7 +135,11 @@
         if admitted:
             self.slots.start(now, request)
         else:
-            self.attempts.refuse(now, request, quota.refill_ms(customer, request.units))
+            self._refuse(now, request, customer)
+
+    def _refuse(self, now: float, request: PendingRequest, customer: Customer) -> None:
+        backoff_ms = quota.refill_ms(customer, request.units)
+        self.attempts.refuse(now, request, it.RefusalReason.QUOTA, backoff_ms)
 
     def _record_decision(self, request: PendingRequest, customer: Customer, admitted: bool) -> None:
         """Update the pass shares of the customer and its plan with a decision by a total."""
--- a/rainturn/decisions/slots.py
+++ b/rainturn/decisions/slots.py
@@ -28,7 +28,8 @@
         turns = len(customer.slot_queue) / max(1, customer.open_attempts)
         wait_ms = turns * self.answer_times[request.class_index].mean
         if wait_ms > MAX_HOLD_SHARE * request.request_class.aim_ms:
-            return self.attempts.refuse(now, request, wait_ms)  # it would only be refused later
+            # It would only be refused later.
+            return self.attempts.refuse(now, request, it.RefusalReason.SLOTS, wait_ms)
         customer.slot_queue.append(request)
         self.attempts.hold(now, request)
         self.serve(now, customer)
--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -44,6 +44,8 @@
 class SyntheticClient:
     """Receives the answers of a hollow gateway and counts them by outcome."""
 
+    number = 0  # it has no connection
+
     def __init__(self) -> None:
         self.outcome_counts: Tally[str] = Tally()
         self.on_refusal: Callable[[Request], None] | None = None  # called with each request that is refused
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -325,6 +325,22 @@
 )
 
 
+class RefusalReason(enum.Enum):
+    """Why the decision module refused or failed a request."""
+
+    UNSPECIFIED = "unspecified"
+    DECISION_ERROR = "decision_error"  # the decision module raised an exception
+    UNKNOWN_CLASS = "unknown_class"
+    DEADLINE = "deadline"
+    TOO_LITTLE_TIME = "too_little_time"  # its deadline came too soon to send it
+    CUSTOMERS_FULL = "customers_full"  # no further customer can be remembered
+    TIER = "tier"  # the hosts are pressed, and its tier is not admitted
+    QUOTA = "quota"
+    SLOTS = "slots"  # its customer has too many open attempts
+    HELD_TOO_LONG = "held_too_long"  # no host, slot or total in time
+    NOT_REPEATABLE = "not_repeatable"  # its attempt failed, and no other may follow
+
+
 class Send(NamedTuple):
     """Start an attempt."""
 
@@ -347,12 +363,14 @@
     request: int
     backoff: float = 0.0  # how long the client should wait before it tries again; 0: not known
     harmless_until: float = math.inf  # from then on a failure is sent instead
+    reason: RefusalReason = RefusalReason.UNSPECIFIED
 
 
 class Fail(NamedTuple):
     """Answer a request with a failure, which doesn't promise that trying again is harmless."""
 
     request: int
+    reason: RefusalReason = RefusalReason.UNSPECIFIED
 
 
 class SetTimer(NamedTuple):
--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -17,6 +17,7 @@
 from rainturn.node.configuration import Config, read_config
 from rainturn.node.handover import Handover, inherited_listener
 from rainturn.node.handover_state import predecessor_clock, restore_predecessor_state, state_for_successor
+from rainturn.node.log_output import NonBlockingHandler
 from rainturn.node.reload import Reload
 from rainturn.node.shutdown import shut_down
 from rainturn.node.system_errors import open_listening_socket
@@ -97,7 +98,11 @@
 
 def main() -> int:
     """Run the gateway and return its exit code."""
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.basicConfig(
+        handlers=[NonBlockingHandler(sys.stderr.fileno())],
+        level=logging.INFO,
+        format="%(asctime)s %(levelname)s %(message)s",
+    )
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the reload handler is installed
     try:
         config = read_config(os.environ)
--- a/rainturn/node/assembly.py
+++ b/rainturn/node/assembly.py
@@ -90,6 +90,7 @@
                 "known_hosts": node.decision_module.listed_count(),
                 "skipped_hosts": node.decision_module.skipped_count(),
             },
+            node.end_log.counts,
         )
 
     def set_in_service(in_service: bool) -> Answer:
--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 from collections import deque
 from typing import Protocol, cast
@@ -10,6 +11,7 @@
 from rainturn.node.client_commands import CommandParser
 from rainturn.node.client_replies import ClientReplies
 from rainturn.node.client_timeouts import ConnectionTimeouts
+from rainturn.node.end_log import ConnectionEnd, RequestEnd, Traffic
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
 from rainturn.node.resp import count_unsent_bytes
@@ -41,6 +43,10 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         super().__init__(owner.node.clock, owner.node.memory)
         self.owner, self.node, self.timeouts = owner, owner.node, owner.timeouts
+        self.number = owner.node.end_log.number_connection()
+        self.made_at = self.clock.now()
+        self.end_reason: ConnectionEnd | None = None  # the first one
+        self.time_left_ms = math.inf  # of its most urgent request, when it began to end
         self.has_sent_valid_command = False
         self.reading_paused = False
         self.reading_ended = False  # whether the connection closes as soon as the client has its replies
@@ -82,10 +88,19 @@
 
     # Expired time limits, called by the sweep.
 
-    def abort(self) -> None:
+    def abort(self, reason: ConnectionEnd) -> None:
         """Close the connection immediately."""
+        self._note_end(reason)
         self.transport.abort()
 
+    def _note_end(self, reason: ConnectionEnd) -> None:
+        """Record why the connection ends; the first reason counts."""
+        if self.end_reason is None:
+            self.end_reason = reason
+            open_requests = [e for e in self.pending if isinstance(e, Request) and not e.is_finished]
+            deadlines = [request.deadline for request in open_requests]
+            self.time_left_ms = min(deadlines, default=math.inf) - self.clock.now()
+
     def close_if_silent(self) -> None:
         """Close a connection that has sent nothing for too long.
 
@@ -96,7 +111,8 @@
         if self.has_sent_valid_command and count_unsent_bytes(self.transport):
             self._await_unsent_replies()
         elif not self.has_unread_input():
-            self._close_gracefully()
+            is_idle = self.has_sent_valid_command
+            self._close_gracefully(ConnectionEnd.IDLE if is_idle else ConnectionEnd.NO_COMMAND)
         elif not self.has_sent_valid_command:
             self.node.loop.call_later(0, self._abort_if_no_valid_command)
 
@@ -113,12 +129,12 @@
 
     def _abort_if_no_valid_command(self) -> None:
         if not (self.has_sent_valid_command or self.closing):
-            self.abort()
+            self.abort(ConnectionEnd.NO_COMMAND)
 
     def abort_if_replies_sent(self) -> None:
         """Abort a connection that is being closed, unless the client has still to take replies."""
         if not count_unsent_bytes(self.transport):
-            return self.abort()
+            return self.abort(ConnectionEnd.PEER_CLOSED)
         self.timeouts.enter(self.timeouts.lingering, self)
         self._watch_write_progress()
 
@@ -127,7 +143,7 @@
         if not count_unsent_bytes(self.transport):
             return
         if not self.send_progress.has_advanced(self.transport):
-            return self.abort()
+            return self.abort(ConnectionEnd.WRITE_STALLED)
         self.timeouts.enter(self.timeouts.write_stalled, self)
 
     def answer_pending_requests(self) -> None:
@@ -137,7 +153,7 @@
         """
         for entry in list(self.pending):
             if isinstance(entry, Request) and not entry.is_finished and not entry.is_streaming():
-                self.node.endings.end_now(entry)
+                self.node.endings.end_now(entry, RequestEnd.ERROR_BEHIND)
 
     # Closing.
 
@@ -146,14 +162,15 @@
         if self.pending or self._is_receiving():
             return
         if not (self.closing or self.transport.is_closing() or self.has_unread_input()):
-            self._close_gracefully()
+            self._close_gracefully(ConnectionEnd.DRAINED)
 
-    def _close_gracefully(self) -> None:
+    def _close_gracefully(self, reason: ConnectionEnd) -> None:
         """Close between requests: immediately if the client's machine has all replies, otherwise once it has.
 
         Guards against bytes from the client that arrive during the close. They turn it into a reset, which
         drops the replies that have not left this machine yet.
         """
+        self._note_end(reason)
         if not count_unsent_bytes(self.transport):
             return self.transport.close()
         self.closing = self.reading_ended = True
@@ -162,8 +179,9 @@
 
     def _end_after_cut_value(self) -> None:
         """Close after a part of a long value, once the client's machine has what was sent before."""
+        self._note_end(ConnectionEnd.VALUE_CUT)
         self.pending.clear()
-        self._close_gracefully()
+        self._close_gracefully(ConnectionEnd.VALUE_CUT)
 
     def _close_write_side(self) -> None:
         """Half-close the connection; the client has some time to read the replies already written."""
@@ -190,6 +208,7 @@
         the loop is late.
         """
         if self.transport.is_closing():
+            self._note_end(ConnectionEnd.LOST)
             self._drop_requests()  # aborted, or broken and not reported by the event loop yet
         elif self.hangup_poll.poll(0):
             self._on_hangup()
@@ -197,6 +216,7 @@
 
     def _on_hangup(self) -> None:
         """Abort the connection of a client that has left; replies that it has not read are dropped."""
+        self._note_end(ConnectionEnd.PEER_CLOSED)
         self.closing = True
         self.transport.abort()
         self._drop_requests()
@@ -216,5 +236,22 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Free all state of the connection, and report the end of its requests to the decision module."""
+        if error is not None:
+            self._note_end(ConnectionEnd.LOST)
         self._on_hangup()
+        self.record_end()
         self.owner.on_closed(self)
+
+    def record_end(self) -> None:
+        """Log why the connection has ended."""
+        traffic = Traffic(
+            self.received_bytes(),
+            self.send_progress.written_bytes,
+            self.clock.now() - self.made_at,
+            self.time_left_ms,
+        )
+        self.node.end_log.connection("client", self.number, self.end_reason or ConnectionEnd.LOST, traffic)
+
+    def received_bytes(self) -> int:
+        """Return how many bytes the client has sent, as far as they have been read."""
+        raise NotImplementedError
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -9,7 +9,7 @@
 from rainturn.node.client_commands import REQUEST_VERBS, MalformedCommand
 from rainturn.node.client_input import InputConnection
 from rainturn.node.command_skipper import CommandSkipper
-from rainturn.node.metrics import Ending
+from rainturn.node.end_log import ConnectionEnd, RequestEnd
 from rainturn.node.requests import Request
 
 MAX_ERRORS = 8  # invalid commands on one connection; one more closes it
@@ -93,7 +93,7 @@
             return
         for entry in list(self.pending):
             if isinstance(entry, Request) and entry.is_unanswered() and not entry.is_begun():
-                self.node.endings.end_now(entry)
+                self.node.endings.end_now(entry, RequestEnd.CLIENT_UNKNOWN)
         request = self.upload_request
         if request is not None and not request.is_finished:
             self.node.deadlines.begin_time(request, self.arrivals.blocked_since)
@@ -135,7 +135,7 @@
             return self._reply_error(str(error))
         self._note_valid_command()
         if self.is_input_full or not self.owner.has_room(request):
-            self.node.metrics.count_ending(request.arrival.request_class, Ending.DROPPED)
+            self.node.endings.refuse_unregistered(request)
             return self._reply(BUSY_REPLY)
         self.timeouts.idle.pop(self, None)
         self.pending.append(request)
@@ -160,11 +160,12 @@
 
     def _reject(self, reason: str) -> None:
         """Stop reading, reply with an error after all earlier replies, then close the connection."""
+        self._note_end(ConnectionEnd.REJECTED)
         self.closing, self.body, self.skipper = True, None, None
         self.timeouts.awaiting_valid_command.pop(self, None)
         request, self.upload_request = self.upload_request, None
         if request is not None and not request.is_finished:
-            self.node.abandon_request(request)  # its body was never complete; the error below is its reply
+            self.node.abandon_request(request, RequestEnd.INCOMPLETE)  # the error below is its reply
             self._discard_value(request)
             if request in self.pending:
                 self.pending.remove(request)
--- a/rainturn/node/client_input.py
+++ b/rainturn/node/client_input.py
@@ -46,6 +46,10 @@
 
     # Receiving.
 
+    def received_bytes(self) -> int:
+        """Return how many bytes the client has sent, as far as they have been read."""
+        return self.arrivals.received_bytes
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return a buffer for the next read, no larger than there is room for."""
         if self.closing or self.skipper is not None:
--- a/rainturn/node/client_listener.py
+++ b/rainturn/node/client_listener.py
@@ -13,6 +13,7 @@
 from rainturn.node.client_commands import CommandParser
 from rainturn.node.client_connection import ClientConnection
 from rainturn.node.client_timeouts import ConnectionTimeouts
+from rainturn.node.end_log import ConnectionEnd
 from rainturn.node.gateway import Node
 from rainturn.node.requests import Request
 from rainturn.node.resp import MAX_BUFFERED_BYTES
@@ -112,7 +113,7 @@
         self.accept_failing = False
         if eviction_candidate is not None:
             self._forget(eviction_candidate)
-            eviction_candidate.abort()
+            eviction_candidate.abort(ConnectionEnd.EVICTED)
         sock.setblocking(False)
         with contextlib.suppress(OSError):  # the client may have gone, which the first read reports
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -129,6 +130,7 @@
             await self.node.loop.connect_accepted_socket(lambda: connection, sock)
         except OSError:
             sock.close()
+            connection.record_end()
             self.on_closed(connection)
 
     # Called by connections.
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -80,6 +80,7 @@
         """Send a piece of a long value, or buffer it until the value may be sent."""
         reserved_bytes = min(len(data), request.reserved_bytes)
         request.reserved_bytes -= reserved_bytes
+        request.sent_bytes += len(data)
         self.queued_bytes += len(data) - reserved_bytes
         request.value_pieces.append(data)
         self._flush()
@@ -129,6 +130,7 @@
 
     def _reply_to_request(self, request: Request, reply: bytes) -> None:
         request.reply = reply
+        request.sent_bytes += len(reply)
         self.queued_bytes += len(reply)
         self._flush()
 
--- a/rainturn/node/client_timeouts.py
+++ b/rainturn/node/client_timeouts.py
@@ -25,9 +25,6 @@
     def is_evictable(self) -> bool:
         """Return whether it may be closed immediately: no unread input and no unsent replies."""
 
-    def abort(self) -> None:
-        """Close immediately."""
-
     def close_if_silent(self) -> None:
         """Close unless there is unread input."""
 
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -10,6 +10,7 @@
 from rainturn import interface as it
 from rainturn.decisions import Gateway
 from rainturn.node.clock import Clock
+from rainturn.node.end_log import OUTCOME_REASONS, AttemptEnd, EndLog, RequestEnd, Traffic
 from rainturn.node.memory_account import MemoryAccount
 from rainturn.node.metrics import Ending, Metrics
 from rainturn.node.outgoing_calls import AttemptRunner, CounterCaller
@@ -41,7 +42,7 @@
     ) -> None:
         self.settings, self.clock, self.loop, self.memory = settings, clock, loop, memory
         self.decision_module = Gateway(settings, seed)
-        self.metrics = Metrics(len(settings.classes))
+        self.metrics, self.end_log = Metrics(len(settings.classes)), EndLog()
         self.hosts: AttemptRunner
         self.counter: CounterCaller
         self.requests: dict[int, Request] = {}
@@ -97,7 +98,7 @@
             actions = self.decision_module.actions
             number = getattr(event, "request", None)
             if number in self.requests:
-                actions = [*actions, it.Fail(number)]
+                actions = [*actions, it.Fail(number, it.RefusalReason.DECISION_ERROR)]
             self.loop.call_later(TIMER_RECHECK_MS / 1000, self.dispatch, it.TimerFired(0))
         for action in actions:
             try:
@@ -106,7 +107,7 @@
                 log.exception("could not carry out %s", action)
                 number = getattr(action, "request", None)
                 if number in self.requests and not isinstance(action, it.Cancel):
-                    self._fail(it.Fail(number), now)
+                    self._fail(it.Fail(number, it.RefusalReason.DECISION_ERROR), now)
         number = getattr(event, "request", None)
         if number is not None:
             self._forget_if_finished(number)
@@ -128,6 +129,7 @@
     def add_request(self, request: Request) -> None:
         """Register a request of a client, and pass its arrival to the decision module."""
         self.requests[request.number] = request
+        request.began_at = self.clock.now()
         self.request_ids.add(request.arguments[2])
         self.unanswered += 1
         self.memory.change(request.held_bytes)
@@ -144,13 +146,13 @@
         """Return how many requests have arrived completely and have not ended."""
         return sum(not request.is_finished and request.is_complete() for request in self.requests.values())
 
-    def abandon_request(self, request: Request) -> None:
-        """End a request whose client has disconnected; it gets no reply."""
+    def abandon_request(self, request: Request, reason: RequestEnd = RequestEnd.CLIENT_LEFT) -> None:
+        """End a request whose client has disconnected, or has not sent all of it; it gets no reply."""
         if request.is_finished:
             return
         request.client_has_left = True
         is_pointless = not request.is_forwarded_whole() or request.transfer is not None
-        self.endings.finish(request, None)
+        self.endings.finish(request, None, reason)
         self.dispatch(it.RequestGone(request.number))
         if is_pointless:  # an incomplete command never runs, and a value has no recipient
             self.endings.drop_attempts(request)
@@ -168,17 +170,17 @@
             # Guards against a request that the decision module has lost or holds too long: rule 1 demands a
             # reply to every request.
             log.warning("request without a reply at its deadline")
-            self.endings.end_now(request)
+            self.endings.end_now(request, RequestEnd.DEADLINE)
         self._forget_if_finished(request.number)
 
     def _refuse(self, action: it.Refuse, now: float) -> None:
         if (request := self.requests.get(action.request)) is not None:
-            self.endings.refuse(request, action.backoff, action.harmless_until)
+            self.endings.refuse(request, action)
         self._forget_if_finished(action.request)
 
     def _fail(self, action: it.Fail, now: float) -> None:
         if (request := self.requests.get(action.request)) is not None:
-            self.endings.fail(request)
+            self.endings.fail(request, action.reason)
         self._forget_if_finished(action.request)
 
     # Attempts.
@@ -231,15 +233,21 @@
         request.transfer = ValueTransfer(attempt, source)
         if not request.client.begin_value(request, length):
             request.transfer = None
-            self.endings.end_now(request)
+            self.endings.end_now(request, RequestEnd.NO_ROOM)
             return False
         if request.is_streaming() and attempt.timer is not None:
             attempt.timer.cancel()
         self.dispatch(it.StreamBegan(request.number, attempt.number))
         return True
 
-    def end_attempt(self, attempt: Attempt, outcome: it.Outcome, value: bytes = b"") -> None:
-        """Report the end of an attempt to the decision module, once.
+    def end_attempt(
+        self,
+        attempt: Attempt,
+        outcome: it.Outcome,
+        value: bytes = b"",
+        reason: AttemptEnd | None = None,
+    ) -> None:
+        """Report the end of an attempt to the decision module, once; without a reason the outcome tells it.
 
         The first value is sent to the client without a decision. A long value that has begun ends only with
         its own attempt.
@@ -253,6 +261,7 @@
             attempt.timer.cancel()
         if outcome not in (it.Outcome.FULL, it.Outcome.UNREACHABLE, it.Outcome.NOT_SENT):
             request.may_have_run = True
+        self._record_attempt_end(attempt, reason or OUTCOME_REASONS[outcome])
         is_withdrawn = self._pass_on_end(attempt, outcome, value)
         elapsed = max(0.0, self.clock.now() - attempt.started_at)
         body_consumed = request.body is not None and request.body.was_forwarded
@@ -269,6 +278,22 @@
             )
         )
 
+    def _record_attempt_end(self, attempt: Attempt, reason: AttemptEnd) -> None:
+        now = self.clock.now()
+        self.end_log.attempt(
+            attempt.request.arguments[2],
+            attempt.number,
+            attempt.host,
+            attempt.connection_number,
+            reason,
+            Traffic(
+                attempt.received_bytes,
+                attempt.sent_bytes,
+                now - attempt.began_at,
+                attempt.request.deadline - now,
+            ),
+        )
+
     def _pass_on_end(self, attempt: Attempt, outcome: it.Outcome, value: bytes) -> bool:
         """Send the client what the end of an attempt gives; return whether its long value was withdrawn."""
         request = attempt.request
@@ -279,12 +304,14 @@
                 self.endings.withdraw_value(request)
                 return not request.is_finished
             request.transfer = None
-            self.endings.finish(request, Ending.PASSED)
-            request.client.end_value(request)
+            self.endings.finish(
+                request, Ending.PASSED, RequestEnd.PASSED, lambda: request.client.end_value(request)
+            )
         elif outcome is it.Outcome.OK and not request.is_streaming():
             self.endings.withdraw_value(request)  # of another attempt, which the client has got nothing of
-            self.endings.finish(request, Ending.PASSED)
-            request.client.send_value(request, value)
+            self.endings.finish(
+                request, Ending.PASSED, RequestEnd.PASSED, lambda: request.client.send_value(request, value)
+            )
         return False
 
     # Timers.
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 from collections.abc import Callable
 from typing import Protocol
 
 from rainturn import interface as it
+from rainturn.node.end_log import AttemptEnd, ConnectionEnd, Traffic
 from rainturn.node.gateway import Node
 from rainturn.node.input_buffer import READ_SIZE, READ_VIEW
 from rainturn.node.memory_account import MIN_HOLDING_BYTES, Holding
@@ -74,6 +76,9 @@
     def __init__(self, pool: ConnectionOwner, address: tuple[str, int]) -> None:
         super().__init__()
         self.pool, self.address = pool, address
+        self.number = pool.node.end_log.number_connection()
+        self.made_at = pool.node.clock.now()
+        self.received_bytes = 0
         self.attempt: Attempt | None = None
         self.idle_since = pool.node.clock.now()  # when its last answer ended, or when it was connected
         self.input_poll = select.poll()  # detects input that the event loop has not read yet
@@ -106,6 +111,8 @@
     def send_command(self, attempt: Attempt, now: float) -> None:
         """Send an attempt's command, and attach the connection to a streamed body."""
         self.attempt, attempt.connection = attempt, self
+        attempt.connection_number = self.number
+        attempt.sent_bytes, attempt.received_bytes = -self.send_progress.written_bytes, -self.received_bytes
         body = attempt.request.body
         self.uploading = body is not None
         self._write(encode_command(attempt, now))
@@ -157,7 +164,8 @@
 
     def _check_upload(self) -> None:
         if not self.send_progress.has_advanced(self.transport):
-            return self.close(it.Outcome.UNREACHABLE)  # an incomplete command never runs
+            # An incomplete command never runs.
+            return self.close(ConnectionEnd.UPLOAD_STALLED, it.Outcome.UNREACHABLE, AttemptEnd.UPLOAD_STALLED)
         self._set_stall_timer(UPLOAD_STALL_LIMIT_S, self._check_upload)
 
     def resume_writing(self) -> None:
@@ -186,6 +194,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Buffer an answer until it is complete; stream a long value to the client as it arrives."""
+        self.received_bytes += nbytes
         if not self.closed:
             self._receive(bytes(READ_VIEW[:nbytes]))
             self._update_memory()
@@ -198,11 +207,11 @@
             return self._finish_answer()
         attempt = self.attempt
         if attempt is None:
-            return self.close()  # an unsolicited answer
+            return self.close(ConnectionEnd.UNSOLICITED)
         try:
             reply = parse_answer(self.buffer)
         except ProtocolError:
-            return self.fail()
+            return self.fail_malformed()
         if reply is None:
             return self._await_rest()
         if isinstance(reply, LongValue):
@@ -220,9 +229,9 @@
         missing_bytes = 0 if self.reserved_bytes else count_missing_bytes(self.buffer) or 0
         if self.memory.reserve(missing_bytes):
             self.reserved_bytes = len(self.buffer) + missing_bytes if missing_bytes else self.reserved_bytes
-            return self._set_stall_timer(STALL_LIMIT_S, self.fail)
+            return self._set_stall_timer(STALL_LIMIT_S, self.fail_stalled)
         if len(self.buffer) < MIN_ANSWER_BYTES:
-            return self._set_stall_timer(STALL_LIMIT_S, self.fail)
+            return self._set_stall_timer(STALL_LIMIT_S, self.fail_stalled)
         if not self.reading_paused:
             self.reading_paused = True
             self.transport.pause_reading()
@@ -241,7 +250,7 @@
         data, self.buffer = self.buffer[value.start :], b""
         self.value_bytes_left, self.fields_after_value = value.length, value.field_count
         if not self.pool.node.begin_streaming(attempt, value.length, self):
-            return self.close(it.Outcome.CANCELLED)  # the request has ended, or has another value
+            return self._close_unneeded()
         self._forward_value(data)
 
     def _forward_value(self, data: bytes) -> None:
@@ -252,10 +261,10 @@
         """
         attempt = self.attempt
         if attempt is None or self.value_bytes_left is None:
-            return self.close()
+            return self.close(ConnectionEnd.UNSOLICITED)
         request = attempt.request
         if request.is_finished or not request.is_fed_by(attempt):
-            return self.close(it.Outcome.CANCELLED)
+            return self._close_unneeded()
         piece = data[: self.value_bytes_left]
         self.value_bytes_left -= len(piece)
         if piece:
@@ -263,7 +272,7 @@
         if not self.value_bytes_left:
             self.buffer += data[len(piece) :]
             if self.buffer[:2] != b"\r\n"[: len(self.buffer)]:
-                return self.fail()
+                return self.fail_malformed()
             if len(self.buffer) >= 2:
                 self.value_bytes_left = None
                 return self._end_attempt(
@@ -273,13 +282,13 @@
             self.reading_paused = True
             self.transport.pause_reading()
             return self._cancel_stall_timer()
-        self._set_stall_timer(VALUE_STALL_LIMIT_S, self.fail)
+        self._set_stall_timer(VALUE_STALL_LIMIT_S, self.fail_stalled)
 
     def resume_value(self) -> None:
         """Continue to read a streamed value once the client accepts more."""
         if self.reading_paused and not self.closed:
             self.reading_paused = False
-            self._set_stall_timer(VALUE_STALL_LIMIT_S, self.fail)
+            self._set_stall_timer(VALUE_STALL_LIMIT_S, self.fail_stalled)
             self.transport.resume_reading()
 
     def _end_attempt(
@@ -287,10 +296,10 @@
     ) -> None:
         """End the attempt. The connection becomes idle once the fields after the value have arrived."""
         self._cancel_stall_timer()
-        self.attempt = attempt.connection = None
+        self._detach(attempt)
         self.fields_expected, self.buffer, self.reserved_bytes = field_count, remainder, 0
         if self.uploading:
-            self.close()  # the host answered early and would take the rest of the body for a command
+            self.close(ConnectionEnd.EARLY_ANSWER)  # it would take the rest of the body for a command
         else:
             self._finish_answer()
         node = self.pool.node
@@ -304,24 +313,40 @@
             # One time limit covers all fields. No request waits for them, and with a limit per piece, a host
             # that sends a few bytes now and then would occupy the connection forever.
             if self.stall_timer is None:
-                self._set_stall_timer(FIELDS_LIMIT_S, self.close)
+                self._set_stall_timer(FIELDS_LIMIT_S, self._close_without_fields)
             return
         if not complete:
             # Bytes that follow a valid answer must not be taken for the answer to the next request.
-            return self.close()
+            return self.close(ConnectionEnd.MALFORMED)
         self._cancel_stall_timer()
         self.fields_expected, self.buffer = None, b""
         self.idle_since = self.pool.node.clock.now()
         self.pool.release(self)
 
-    def fail(self) -> None:
-        """Close the connection because its answer is malformed or has stalled. The request may have run.
+    def _detach(self, attempt: Attempt) -> None:
+        """Part with an attempt that ends; it keeps what has passed for it."""
+        attempt.sent_bytes += self.send_progress.written_bytes
+        attempt.received_bytes += self.received_bytes
+        self.attempt = attempt.connection = None
+
+    def _close_without_fields(self) -> None:
+        self.close(ConnectionEnd.FIELDS_LATE)
 
-        This guards against waiting for the rest until the deadline. The outcome is ERROR, which means that
-        the host is up, and not RESET: any host may send a malformed answer, and that must not make it
-        suspect.
+    def _close_unneeded(self) -> None:
+        """Close in the middle of an answer whose request has ended, or has the value of another attempt."""
+        self.close(ConnectionEnd.ATTEMPT_ENDED, it.Outcome.CANCELLED, AttemptEnd.NOT_NEEDED)
+
+    def fail_malformed(self) -> None:
+        """Close the connection because its answer is malformed. The request may have run.
+
+        The outcome is ERROR, which means that the host is up, and not RESET: any host may send a malformed
+        answer, and that must not make it suspect.
         """
-        self.close(it.Outcome.ERROR)
+        self.close(ConnectionEnd.MALFORMED, it.Outcome.ERROR, AttemptEnd.MALFORMED)
+
+    def fail_stalled(self) -> None:
+        """Close the connection because its answer has stood still for too long, like a malformed one."""
+        self.close(ConnectionEnd.ANSWER_STALLED, it.Outcome.ERROR, AttemptEnd.ANSWER_STALLED)
 
     def _set_stall_timer(self, limit_s: float, on_stall: Callable[[], None]) -> None:
         """Call `on_stall` after `limit_s` seconds unless progress cancels it; replaces an earlier timer."""
@@ -333,34 +358,55 @@
             self.stall_timer.cancel()
             self.stall_timer = None
 
-    def close(self, outcome: it.Outcome | None = None) -> None:
+    def close(
+        self,
+        reason: ConnectionEnd,
+        outcome: it.Outcome | None = None,
+        attempt_reason: AttemptEnd | None = None,
+    ) -> None:
         """Close at once and discard unsent bytes.
 
         An open attempt ends with `outcome`; without an outcome its end is not reported.
         """
         if self.closed:
             return
+        self._record_end(reason)
         self.closed, self.buffer = True, b""
         self._update_memory()
         self._cancel_stall_timer()
-        attempt, self.attempt = self.attempt, None
+        attempt = self.attempt
         if attempt is not None:
+            self._detach(attempt)
             # The event loop closes the socket only in its next turn, and a repeat may be sent before that.
             # This guards against two copies of a request being open at hosts at the same time.
             end_sending(self.transport)
         self.transport.abort()
         self.pool.remove(self)
         if attempt is not None:
-            attempt.connection = None
             if attempt.request.body is not None:
                 attempt.request.body.detach()
             if outcome is not None:
-                self.pool.node.end_attempt(attempt, outcome)
+                self.pool.node.end_attempt(attempt, outcome, reason=attempt_reason)
+
+    def _record_end(self, reason: ConnectionEnd) -> None:
+        node = self.pool.node
+        now = node.clock.now()
+        deadline = self.attempt.request.deadline if self.attempt is not None else math.inf
+        traffic = Traffic(
+            self.received_bytes, self.send_progress.written_bytes, now - self.made_at, deadline - now
+        )
+        node.end_log.connection("host", self.number, reason, traffic)
 
     def eof_received(self) -> None:
         """Treat the end of input from the host as a lost connection, because no answer will come."""
-        self.connection_lost(None)
+        self._end_by_peer(ConnectionEnd.PEER_CLOSED)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Close, unless this side has done so."""
+        self._end_by_peer(ConnectionEnd.LOST if error is not None else ConnectionEnd.PEER_CLOSED)
+
+    def _end_by_peer(self, reason: ConnectionEnd) -> None:
         """Close; the request provably did not run only if its last byte had not been sent."""
-        self.close(it.Outcome.UNREACHABLE if self.has_unsent_bytes or self.uploading else it.Outcome.RESET)
+        is_incomplete = self.has_unsent_bytes or self.uploading
+        outcome = it.Outcome.UNREACHABLE if is_incomplete else it.Outcome.RESET
+        self.close(reason, outcome, AttemptEnd.CONNECTION_LOST)
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 from rainturn import interface as it
+from rainturn.node.end_log import AttemptEnd, ConnectionEnd
 from rainturn.node.gateway import Node
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.requests import Attempt
@@ -100,7 +101,7 @@
                 return
             self._remove_idle(found)
             if not found.is_usable(now):
-                found.close()
+                found.close(ConnectionEnd.IDLE)
             elif not self._try_send(found, self.waiting_attempts.popleft()):
                 self.release(found)
 
@@ -122,7 +123,8 @@
             # hosts may have forgotten its key (rule 2), or the host may have begun to leave (rule 3). Also
             # guards against a client that has closed its connection while the gateway has not read that yet,
             # because reading is paused or the event loop was late. Nothing was sent, so nothing ran.
-            node.end_attempt(attempt, it.Outcome.NOT_SENT)
+            reason = AttemptEnd.HOST_LEAVING if self.is_leaving else AttemptEnd.NOT_SENT
+            node.end_attempt(attempt, it.Outcome.NOT_SENT, reason=reason)
             return False
         connection.send_command(attempt, now)
         return True
@@ -130,7 +132,8 @@
     def _open_connection(self) -> None:
         if not self.pools.make_room():
             # The gateway's own limit prevents the connect. UNREACHABLE would make a healthy host suspect.
-            self.node.end_attempt(self.waiting_attempts.pop(), it.Outcome.NOT_SENT)
+            attempt = self.waiting_attempts.pop()
+            self.node.end_attempt(attempt, it.Outcome.NOT_SENT, reason=AttemptEnd.NO_CONNECTION)
             return
         self.connecting_count += 1
         self.pools.connecting_count += 1
@@ -158,7 +161,9 @@
         self._send_on_idle()
         if self.connecting_count < len(self.waiting_attempts):
             if not self.idle_connections:
-                node.end_attempt(self.waiting_attempts.popleft(), failure)
+                is_local = failure is it.Outcome.NOT_SENT
+                reason = AttemptEnd.NO_CONNECTION if is_local else AttemptEnd.CONNECT_FAILED
+                node.end_attempt(self.waiting_attempts.popleft(), failure, reason=reason)
             elif self.reuse_timer is None:
                 # The host may accept no more connections, but an idle one can be reused soon.
                 self.reuse_timer = node.loop.call_later(REUSE_DELAY_MS / 1000, self._on_reuse_timer)
@@ -171,7 +176,7 @@
         self.pools.open_connections += 1
         if connection.address != self.address:
             # Guards against a connect that was under way when the host list changed the host's address.
-            connection.close()
+            connection.close(ConnectionEnd.HOST_CHANGED)
             return self._serve_waiting()
         while self.waiting_attempts and not connection.closed:
             if self._try_send(connection, self.waiting_attempts.popleft()):
@@ -182,7 +187,7 @@
         """Keep a connection without an attempt as idle if it may be reused; otherwise close it."""
         moved = connection.address != self.address
         if self.is_leaving or moved or connection.closed or self.pools.closing:
-            return connection.close()
+            return connection.close(ConnectionEnd.HOST_CHANGED)
         self.idle_connections.append(connection)
         self.pools.idle_connections[connection] = None
         if self.idle_timer is None:
@@ -193,15 +198,15 @@
         now = self.node.clock.now()
         self.idle_timer = None
         while self.idle_connections and now - self.idle_connections[0].idle_since >= self.idle_limit_ms - 1:
-            self.idle_connections[0].close()
+            self.idle_connections[0].close(ConnectionEnd.IDLE)
         if self.idle_connections:
             delay = self.idle_connections[0].idle_since + self.idle_limit_ms - now
             self.idle_timer = self.node.loop.call_later(delay / 1000, self._close_expired)
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, because the host has changed or is leaving."""
         while self.idle_connections:
-            self.idle_connections[0].close()
+            self.idle_connections[0].close(ConnectionEnd.HOST_CHANGED)
 
     def close_idle_before(self, time: float) -> None:
         """Close the idle connections that received their last bytes before `time` (Unix time in ms).
@@ -211,7 +216,7 @@
         may have run. A new connect that fails proves that the attempt did not run.
         """
         while self.idle_connections and self.idle_connections[0].idle_since < time:
-            self.idle_connections[0].close()
+            self.idle_connections[0].close(ConnectionEnd.SUSPECT)
 
     def remove(self, connection: HostConnection) -> None:
         """Remove a closed connection from the pool."""
@@ -289,14 +294,15 @@
         self.leaving_pools.clear()
         for pool in pools:
             while pool.is_leaving and pool.waiting_attempts:
-                self.node.end_attempt(pool.waiting_attempts.popleft(), it.Outcome.NOT_SENT)
+                attempt = pool.waiting_attempts.popleft()
+                self.node.end_attempt(attempt, it.Outcome.NOT_SENT, reason=AttemptEnd.HOST_LEAVING)
             pool.forget_if_unused()
 
     def close_idle(self) -> None:
         """Close all idle connections, and from now on each connection when its attempt ends."""
         self.closing = True
         while self.idle_connections:
-            next(iter(self.idle_connections)).close()
+            next(iter(self.idle_connections)).close(ConnectionEnd.DRAINED)
 
     def start(self, attempt: Attempt) -> None:
         """Send an attempt to its host, as soon as a connection is available."""
@@ -311,7 +317,7 @@
         """
         connection, pool = attempt.connection, self.pools.get(attempt.host)
         if isinstance(connection, HostConnection):
-            connection.close()
+            connection.close(ConnectionEnd.ATTEMPT_ENDED)
             connection.pool.close_idle_before(attempt.started_at)
         elif pool is not None and attempt in pool.waiting_attempts:
             pool.waiting_attempts.remove(attempt)
@@ -323,5 +329,5 @@
             return True
         if not self.idle_connections:
             return False
-        next(iter(self.idle_connections)).close()
+        next(iter(self.idle_connections)).close(ConnectionEnd.EVICTED)
         return True
--- a/rainturn/node/metrics.py
+++ b/rainturn/node/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 
 METRIC_PREFIX = "gateway"
 
@@ -26,13 +27,17 @@
         """Count the end of a request."""
         self.handled[request_class][ending] += 1
 
-    def report(self, classes: tuple[str, ...], gauges: dict[str, int]) -> str:
-        """Return all metrics as statsd lines, including those that are zero."""
+    def report(self, classes: tuple[str, ...], gauges: dict[str, int], ends: Counter[str]) -> str:
+        """Return all metrics as statsd lines, including those that are zero, except for `ends`.
+
+        `ends` counts the ends of requests, attempts and connections by `kind.reason`.
+        """
         lines = [
             f"{METRIC_PREFIX}.handled.{name}.{ending.name.lower()}:{counts[ending]}|c"
             for name, counts in zip(classes, self.handled, strict=True)
             for ending in Ending
         ]
+        lines += [f"{METRIC_PREFIX}.ended.{name}:{count}|c" for name, count in sorted(ends.items())]
         lines.append(f"{METRIC_PREFIX}.upstream_tries:{self.upstream_tries}|c")
         lines += [f"{METRIC_PREFIX}.{name}:{value}|g" for name, value in gauges.items()]
         return "\n".join(lines) + "\n"
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -13,6 +13,8 @@
 class Responder(Protocol):
     """The destination of a request's final reply: the connection of its client."""
 
+    number: int  # by which log lines refer to the connection
+
     def send_value(self, request: Request, value: bytes) -> None:
         """Send a host's value."""
 
@@ -95,6 +97,8 @@
         "is_buffered_whole",
         "reserved_bytes",
         "time_limit_ms",
+        "began_at",
+        "sent_bytes",
     )
 
     def __init__(
@@ -130,6 +134,14 @@
         self.client_has_left = False  # whether it left before the final reply
         self.may_have_run = False  # whether an ended attempt may have run at its host
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.began_at = 0.0  # when it was registered
+        self.sent_bytes = 0  # of its reply, given to the connection of its client
+
+    def received_bytes(self) -> int:
+        """Return how many bytes of its arguments have arrived."""
+        fields = len(self.fields_before_deadline) + len(self.fields_after_deadline)
+        body = self.body.length - self.body.bytes_left if self.body is not None else 0
+        return sum(map(len, self.arguments)) + fields + body
 
     def is_complete(self) -> bool:
         """Return whether the last byte of the request has arrived."""
@@ -166,7 +178,20 @@
 class Attempt:
     """One attempt of a request at a host. Times are Unix time in ms."""
 
-    __slots__ = ("request", "number", "host", "started_at", "deadline", "begin_by", "connection", "timer")
+    __slots__ = (
+        "request",
+        "number",
+        "host",
+        "began_at",
+        "started_at",
+        "deadline",
+        "begin_by",
+        "connection",
+        "timer",
+        "connection_number",
+        "sent_bytes",
+        "received_bytes",
+    )
 
     def __init__(
         self,
@@ -178,10 +203,12 @@
         begin_by: float = math.inf,
     ) -> None:
         self.request, self.number, self.host = request, number, host
-        self.started_at, self.deadline = started_at, deadline
+        self.began_at, self.started_at, self.deadline = started_at, started_at, deadline
         self.begin_by = begin_by  # a repeat that gets its connection later is no longer safe and is not sent
         self.connection: object | None = None  # set once the command has been written to it
         self.timer: asyncio.TimerHandle | None = None
+        self.connection_number = 0  # of its connection, by which log lines refer to it; 0: it had none yet
+        self.sent_bytes = self.received_bytes = 0  # on its connection
 
     def is_out(self) -> bool:
         """Return whether the whole command has been written to a host that has not answered yet."""
--- a/rainturn/node/shutdown.py
+++ b/rainturn/node/shutdown.py
@@ -6,6 +6,7 @@
 
 from rainturn import interface as it
 from rainturn.node.assembly import Parts
+from rainturn.node.end_log import RequestEnd
 
 ACCEPT_AFTER_SIGTERM_S = 0.5  # new connections still come for this long after SIGTERM
 LAST_COUNTS_S = 0.05  # time to send the last calls to the counter
@@ -39,6 +40,6 @@
     await parts.clients.wait_closed(end - loop.time())
     parts.clients.refuse_all()  # requests queued behind the open ones are read as those end, and refused
     for request in [r for r in node.requests.values() if not r.is_finished]:
-        node.endings.end_now(request)
+        node.endings.end_now(request, RequestEnd.SHUTDOWN)
     await parts.clients.close()
     await asyncio.sleep(LAST_COUNTS_S)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -727,7 +727,9 @@
         for call in of_type(driver.actions, it.Count):
             driver.answer_count(call, 1.0)
         driver.advance_clock(5000.0)
-        assert of_type(driver.actions, it.Refuse) == [it.Refuse(number)]
+        assert of_type(driver.actions, it.Refuse) == [
+            it.Refuse(number, reason=it.RefusalReason.HELD_TOO_LONG)
+        ]
 
 
 def test_an_attempt_beyond_the_cap_waits_for_a_slot() -> None:
@@ -1027,7 +1029,7 @@
     driver = GatewayDriver(settings())
     for time_limit_ms in (0.0, 20.0, 40.0):
         number, got = driver.start_request(0, time_limit_ms=time_limit_ms)
-        assert got == [it.Refuse(number)]
+        assert got == [it.Refuse(number, reason=it.RefusalReason.TOO_LITTLE_TIME)]
 
 
 def test_times_measured_across_a_stall_of_the_gateway_are_no_evidence() -> None:
@@ -1044,7 +1046,7 @@
     driver.handle(it.CountAnswered(call.name, it.Outcome.TIMEOUT, 0.0, 2000.0))
     assert not driver.gateway.tiers.answers.by_host and driver.gateway.calls.load.value == counter_load
     number, got = driver.start_request(0, time_limit_ms=30.0)
-    assert got == [it.Refuse(number)]
+    assert got == [it.Refuse(number, reason=it.RefusalReason.TOO_LITTLE_TIME)]
 
 
 def test_a_gateway_wakes_only_when_something_is_due() -> None:
@@ -1119,7 +1121,7 @@
     customer.level, customer.unreported = 0.0, -2.0
     assert quota.call_value(customer, driver.now, 1.0) == 0.0
     number, got = driver.start_request(0)
-    assert of_type(got, it.Count) or got == [it.Refuse(number)]
+    assert of_type(got, it.Count) or got == [it.Refuse(number, reason=it.RefusalReason.QUOTA)]
 
 
 def test_units_of_a_rejected_call_are_reported_again_up_to_one_burst() -> None:
@@ -1168,7 +1170,7 @@
     driver.handle(it.HostList(it.ListKind.DELTA, (it.HostEntry(send.host, zone, 0, it.HostState.DRAINING),)))
     driver.now += 100.0
     assert not driver.end_attempt(send, it.Outcome.ERROR) or number in driver.gateway.attempts.queued
-    assert of_type(driver.advance_clock(300.0), it.Fail) == [it.Fail(number)]
+    assert of_type(driver.advance_clock(300.0), it.Fail) == [it.Fail(number, it.RefusalReason.NOT_REPEATABLE)]
     back = driver.handle(it.HostList(it.ListKind.DELTA, (it.HostEntry(9, zone, 0, it.HostState.READY),)))
     assert not of_type(back + driver.advance_clock(500.0), it.Send)
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -16,6 +16,7 @@
 from rainturn.decisions import quota
 from rainturn.node import client_commands, client_connection, client_input, client_timeouts
 from rainturn.node.client_connection import ClientConnection
+from rainturn.node.end_log import RequestEnd
 from rainturn.node.host_connection import HostConnection
 from rainturn.node.requests import Attempt
 from rainturn.node.resp import encode_array
@@ -611,7 +612,7 @@
             client.send_request(b"1", b"pay", body=b"x")
             while not held:
                 await asyncio.sleep(0)
-            setup.parts.node.endings.end_now(held[0].request)
+            setup.parts.node.endings.end_now(held[0].request, RequestEnd.SHUTDOWN)
             assert await client.read_answer() == "-BUSY"
 
     run(main())
--- a/tests/test_node_control.py
+++ b/tests/test_node_control.py
@@ -12,6 +12,7 @@
 from rainturn import interface as it
 from rainturn.node import client_timeouts
 from rainturn.node import control as control_module
+from rainturn.node.end_log import ConnectionEnd
 from rainturn.node.resp import encode_array
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
 from tests.helpers import hosts as host_list
@@ -59,6 +60,13 @@
                 "handled.read.passed": 2,
                 "handled.read.dropped": 1,
                 "handled.pay.bad_gateway": 2,
+                "ended.attempt.answered": 2,
+                "ended.attempt.connection_lost": 1,
+                "ended.attempt.host_error": 1,
+                "ended.connection.lost": 1,
+                "ended.request.not_repeatable": 2,
+                "ended.request.passed": 2,
+                "ended.request.too_little_time": 1,
                 "upstream_tries": 4,
                 "in_progress": 0,
                 "known_hosts": 1,
@@ -241,7 +249,7 @@
             client.send(b"PING")
             assert await client.read_answer() == b"PONG"
             (connection,) = setup.parts.clients.connections
-            connection.abort()
+            connection.abort(ConnectionEnd.EVICTED)
             setup.parts.clients.drain()
             connection.check_write_progress()
             assert await with_timeout(client.reader.read()) == b""
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -51,6 +51,8 @@
 class DiscardingClient:
     """A client whose answers no test checks."""
 
+    number = 0
+
     def is_present(self) -> bool:
         return True
 
