Attempts that make progress are no longer moved to other hosts as silent

Cause: the decision module took an attempt for silent until its answer was whole, or a part of a long value had come. A head alone, a part of an answer up to 64 KiB, and bytes of the command that a host takes told it nothing.

Change: the node tells when an answer begins (AnswerBegan) and while a host takes a command (CommandTransfer, for those over 4 KB, from what its machine acknowledges). Such an attempt is not moved; its pause limit and the deadline stay. Where a request may be at two hosts it may still get a second attempt, beside the first. Sending and closing of host connections stand in a module of their own.

The player's slow answers now begin at once: their first pause was silence, after which a move is right.

--- a/rainturn/decisions/attempts.py
+++ b/rainturn/decisions/attempts.py
@@ -122,6 +122,21 @@
             end = it.AttemptEnded(request.id, event.attempt, host.id, Outcome.OK, elapsed, False)
             self.hosts.record(now, end, host, request)
 
+    def on_answer_part(self, now: float, event: it.AnswerBegan) -> None:
+        """Note that an attempt's answer has begun: it is not moved any more, whatever pauses follow."""
+        if (attempt := self._open_attempt(event.request, event.attempt)) is not None:
+            attempt.has_begun_answer = True
+
+    def on_command_transfer(self, now: float, event: it.CommandTransfer) -> None:
+        """Note whether a host is still taking a command; its silence counts from the end of that."""
+        if (attempt := self._open_attempt(event.request, event.attempt)) is not None:
+            attempt.is_being_sent = event.is_under_way
+            attempt.silent_since = now
+
+    def _open_attempt(self, request_id: int, number: int) -> Attempt | None:
+        request = self.open.get(request_id)
+        return request.attempt(number) if request is not None else None
+
     def on_attempt_ended(self, now: float, event: it.AttemptEnded) -> Customer | None:
         """Record how an attempt ended and continue its request; return the customer if a slot may be free."""
         request = self.open.get(event.request)
@@ -252,7 +267,10 @@
         return is_unanswered and request.attempts[-1].host.failures < SUSPECT_FAILURES
 
     def _check_silence(self, now: float, request_id: int, number: int) -> None:
-        """Move a request off a host that has sent no answer since the attempt began.
+        """Move a request off a host that is silent: it has the command, and has sent nothing since.
+
+        An attempt that makes progress is never given up for another host. Where a request may be at two hosts
+        at once, it gets a second attempt beside the first.
 
         The timer holds the request's id only, so that it does not keep an answered request in memory.
 
@@ -267,22 +285,27 @@
         if not attempt.is_open:
             return
         host, limit_ms = attempt.host, self.hosts.max_silence_ms(request, attempt.host)
-        has_answered = host.last_answer_at > attempt.sent_at
-        may_wait = has_answered and now - attempt.sent_at < limit_ms * max(1.0, host.slowness(now))
+        silence_ms = now - attempt.silent_since
+        if silence_ms < limit_ms and attempt.silent_since > attempt.sent_at:
+            return self.timers.after(now, limit_ms - silence_ms, self._check_silence, request_id, number)
+        has_answered = attempt.has_begun_answer or host.last_answer_at > attempt.sent_at
+        may_wait = has_answered and silence_ms < limit_ms * max(1.0, host.slowness(now))
+        may_hedge = self.limits.may_duplicate and request.request_class.effect is not it.Effect.UNSAFE
         if now <= self.hosts.evidence_since:  # the gateway has just stalled: the answer may be unread
             return self.timers.after(now, RECHECK_MS, self._check_silence, request_id, number)
         if (
             request.is_streamed
             or request.is_bound
             or may_wait
+            or (attempt.makes_progress() and not may_hedge)
             or self.retry_budget < 1.0
             or not self._may_repeat(now, request)
         ):
             return self.timers.after(now, limit_ms, self._check_silence, request_id, number)
         self.retry_budget -= 1.0
-        if not has_answered:
+        if not (has_answered or attempt.is_being_sent):
             self.hosts.record_failure(now, host)
-        if self.limits.may_duplicate and request.request_class.effect is not it.Effect.UNSAFE:
+        if may_hedge:
             self._send(now, request)
             self.queued.pop(request.id, None)
         elif self.limits.may_cancel:
--- a/rainturn/decisions/gateway.py
+++ b/rainturn/decisions/gateway.py
@@ -40,6 +40,8 @@
             it.Arrived: self._on_arrived,
             it.BodyComplete: self.attempts.on_body_complete,
             it.StreamBegan: self.attempts.on_answer_began,
+            it.AnswerBegan: self.attempts.on_answer_part,
+            it.CommandTransfer: self.attempts.on_command_transfer,
             it.AttemptEnded: self._on_attempt_ended,
             it.RequestGone: self.attempts.on_client_left,
             it.CountAnswered: self._on_count_answered,
--- a/rainturn/interface.py
+++ b/rainturn/interface.py
@@ -238,6 +238,21 @@
     attempt: int
 
 
+class AnswerBegan(NamedTuple):
+    """A part of the answer to an attempt has come: its host is not silent."""
+
+    request: int
+    attempt: int
+
+
+class CommandTransfer(NamedTuple):
+    """Tells whether the host of an attempt is still taking the command, so that its silence shows nothing."""
+
+    request: int
+    attempt: int
+    is_under_way: bool  # False: the host has the whole command, or takes no more of it
+
+
 class AttemptEnded(NamedTuple):
     """An attempt has ended."""
 
@@ -312,6 +327,8 @@
     HostList
     | Arrived
     | StreamBegan
+    | AnswerBegan
+    | CommandTransfer
     | AttemptEnded
     | RequestGone
     | TimerFired
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -11,6 +11,7 @@
 from rainturn.node.end_log import AttemptEnd, ConnectionEnd
 from rainturn.node.gateway import Node
 from rainturn.node.host_connection import HostConnection
+from rainturn.node.host_sending import SendingConnection
 from rainturn.node.requests import Attempt
 from rainturn.node.system_errors import LocalShortageError, connect
 
@@ -50,8 +51,8 @@
         self.address, self.started = NO_ADDRESS, 0.0
         self.is_leaving = False  # whether the host list says that the host is draining or gone
         self.is_gone = False
-        self.idle_connections = cast("deque[HostConnection]", ())  # the most recently used is last
-        self.connections = cast("set[HostConnection]", ())
+        self.idle_connections = cast("deque[SendingConnection]", ())  # the most recently used is last
+        self.connections = cast("set[SendingConnection]", ())
         self.connecting_count = 0  # number of connects under way
         self.waiting_attempts = cast("deque[Attempt]", ())
         self.idle_timer: asyncio.TimerHandle | None = None  # closes the oldest idle connection
@@ -109,7 +110,7 @@
         self.reuse_timer = None
         self._serve_waiting()
 
-    def _try_send(self, connection: HostConnection, attempt: Attempt) -> bool:
+    def _try_send(self, connection: SendingConnection, attempt: Attempt) -> bool:
         """Send an attempt unless it became pointless while it waited; returns whether it was sent."""
         node, now = self.node, self.node.clock.now()
         request = attempt.request
@@ -169,7 +170,7 @@
                 self.reuse_timer = node.loop.call_later(REUSE_DELAY_MS / 1000, self._on_reuse_timer)
         self.forget_if_unused()
 
-    def add_connection(self, connection: HostConnection) -> None:
+    def add_connection(self, connection: SendingConnection) -> None:
         """Add a new connection: use it for the attempt that has waited longest, or keep it as idle."""
         self._allocate()
         self.connections.add(connection)
@@ -183,7 +184,7 @@
                 return
         self.release(connection)
 
-    def release(self, connection: HostConnection) -> None:
+    def release(self, connection: SendingConnection) -> None:
         """Keep a connection without an attempt as idle if it may be reused; otherwise close it."""
         moved = connection.address != self.address
         if self.is_leaving or moved or connection.closed or self.pools.closing:
@@ -218,7 +219,7 @@
         while self.idle_connections and self.idle_connections[0].idle_since < time:
             self.idle_connections[0].close(ConnectionEnd.SUSPECT)
 
-    def remove(self, connection: HostConnection) -> None:
+    def remove(self, connection: SendingConnection) -> None:
         """Remove a closed connection from the pool."""
         if connection in self.connections:
             self.connections.discard(connection)
@@ -227,7 +228,7 @@
             self._remove_idle(connection)
         self.forget_if_unused()
 
-    def _remove_idle(self, connection: HostConnection) -> None:
+    def _remove_idle(self, connection: SendingConnection) -> None:
         self.idle_connections.remove(connection)
         del self.pools.idle_connections[connection]
 
@@ -248,7 +249,7 @@
         self.idle_limit_ms = idle_limit_ms * IDLE_LIMIT_FRACTION
         self.pools: dict[int, HostPool] = {}
         # The idle connections of all pools; the one that has been idle longest is first.
-        self.idle_connections: OrderedDict[HostConnection, None] = OrderedDict()
+        self.idle_connections: OrderedDict[SendingConnection, None] = OrderedDict()
         self.leaving_pools: set[HostPool] = set()  # pools in which attempts wait for a leaving host
         self.open_connections = self.connecting_count = 0  # in all pools
         self.closing = False  # whether connections are closed when their attempt ends
@@ -316,7 +317,7 @@
         Its connection is closed, because a late answer would be taken for the answer to another attempt.
         """
         connection, pool = attempt.connection, self.pools.get(attempt.host)
-        if isinstance(connection, HostConnection):
+        if isinstance(connection, SendingConnection):
             connection.close(ConnectionEnd.ATTEMPT_ENDED)
             connection.pool.close_idle_before(attempt.started_at)
         elif pool is not None and attempt in pool.waiting_attempts:
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from rainturn import interface as it
+from rainturn.node.answer_progress import AnswerProgress
 from rainturn.node.body import Body
 
 
@@ -189,6 +190,7 @@
         "connection",
         "timer",
         "connection_number",
+        "progress",
         "sent_bytes",
         "received_bytes",
     )
@@ -207,6 +209,7 @@
         self.begin_by = begin_by  # a repeat that gets its connection later is no longer safe and is not sent
         self.connection: object | None = None  # set once the command has been written to it
         self.timer: asyncio.TimerHandle | None = None
+        self.progress: AnswerProgress | None = None  # once a part of its answer has come
         self.connection_number = 0  # of its connection, by which log lines refer to it; 0: it had none yet
         self.sent_bytes = self.received_bytes = 0  # on its connection
 
--- a/rainturn/records.py
+++ b/rainturn/records.py
@@ -106,7 +106,16 @@
 class Attempt:
     """One attempt of a request at a host."""
 
-    __slots__ = ("host", "sent_at", "is_open", "may_have_run", "is_load")
+    __slots__ = (
+        "host",
+        "sent_at",
+        "is_open",
+        "may_have_run",
+        "is_load",
+        "silent_since",
+        "is_being_sent",
+        "has_begun_answer",
+    )
 
     def __init__(self, host: Host, now: float, is_load: bool) -> None:
         self.host = host
@@ -114,6 +123,13 @@
         self.is_open = True
         self.may_have_run = True  # until it is proven that the host has not run the request
         self.is_load = is_load  # False while the request is incomplete and once the answer has begun
+        self.silent_since = now  # since when the host could have answered
+        self.is_being_sent = False  # whether the host is still taking the command
+        self.has_begun_answer = False
+
+    def makes_progress(self) -> bool:
+        """Return whether the host is taking the command, or has begun to answer."""
+        return self.is_being_sent or self.has_begun_answer
 
     def end_load(self) -> None:
         """Stop counting the attempt as load, since its answer has begun."""
@@ -178,7 +194,7 @@
         """Start to count open attempts as load, as the last byte has arrived, and return them."""
         begun = [attempt for attempt in self.attempts if attempt.is_open and not attempt.is_load]
         for attempt in begun:
-            attempt.sent_at = now
+            attempt.sent_at = attempt.silent_since = now
             attempt.is_load = True
         return begun
 
--- a/tests/slow_peers.py
+++ b/tests/slow_peers.py
@@ -46,7 +46,7 @@
 
     QUICK = "quick"  # answers at once
     LATE_BODY = "latebody"  # the head of the answer at once, the rest after a pause
-    SLOW_BODY = "slowbody"  # pieces of the answer with a pause before each
+    SLOW_BODY = "slowbody"  # pieces of the answer with a pause between two of them
     LATE_FIELDS = "latefields"  # the fields behind the value after a pause
     STUCK = "stuck"  # stops reading within the request
     SLOW_READ = "slowread"  # reads the request at a low rate, then answers
@@ -159,7 +159,7 @@
     elif plan.fault is Fault.SLOW_BODY:
         size = -(-len(answer) // plan.pieces)
         for start in range(0, len(answer), size):
-            yield pause_s, answer[start : start + size]
+            yield pause_s if start else 0.0, answer[start : start + size]
     else:
         yield 0.0, answer
 
--- a/tests/test_node_size.py
+++ b/tests/test_node_size.py
@@ -10,7 +10,8 @@
 import pytest
 
 from rainturn import interface as it
-from rainturn.node import client_timeouts, host_connection, host_pools
+from rainturn.node import client_timeouts, host_pools, host_sending
+from rainturn.node.host_connection import HostConnection
 from rainturn.node.resp import MAX_BUFFERED_BYTES, encode_array
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
 from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
@@ -134,6 +135,7 @@
             while not connection.writing_paused:
                 await asyncio.sleep(0)
             (host,) = setup.parts.pools.pools[1].connections
+            assert isinstance(host, HostConnection)
             assert host.reading_paused and connection.transport.get_write_buffer_size() < 1 << 19
             assert await client.read_answer() == value
             scripted_host.server.close()
@@ -285,7 +287,7 @@
             assert str(await client.read_answer()).startswith("-BUSY")  # an incomplete command never runs
             listener.close()
 
-    monkeypatch.setattr(host_connection, "UPLOAD_STALL_LIMIT_S", 0.2)
+    monkeypatch.setattr(host_sending, "UPLOAD_STALL_LIMIT_S", 0.2)
     run(main())
 
 
