An answer that its host is still writing at its deadline is passed on as it arrives

What callers saw: a value over 64 KiB with commands behind it, written steadily past its deadline, was refused or failed, where it is whole alone; an answer up to 64 KiB always was.

Cause: a value that is buffered, for the commands behind it or as it is short, had no way out at its deadline.

Change: whether a host still writes is judged by its own pauses (AnswerProgress): silence of more than twice the longest, and 100 ms, is standstill. A steady answer is awaited for 0.4 s after the deadline, within the 0.5 s in which a reply may begin, and only then sent as it arrives. One that stops or breaks off before that is refused as it was. A cut value now ends the requests behind it in the books, too.

What remains: a steady answer that breaks off more than 0.4 s after its deadline takes the replies behind it along (test of that price).

--- a/rainturn/emulator/hollow.py
+++ b/rainturn/emulator/hollow.py
@@ -72,6 +72,9 @@
         """Return True: simulated hosts send no long values."""
         return True
 
+    def release_value(self, request: Request) -> None:
+        """Do nothing: simulated hosts send no long values."""
+
     def send_piece(self, request: Request, data: bytes) -> None:
         """Do nothing: simulated hosts send no long values."""
 
--- a/rainturn/node/client_closing.py
+++ b/rainturn/node/client_closing.py
@@ -180,7 +180,11 @@
     def _end_after_cut_value(self) -> None:
         """Close after a part of a long value, once the client's machine has what was sent before."""
         self._note_end(ConnectionEnd.VALUE_CUT)
-        self.pending.clear()
+        pending, self.pending = self.pending, deque()
+        for entry in list(pending)[1:]:  # behind the value, whose request ends itself
+            if isinstance(entry, Request):
+                self.node.abandon_request(entry, RequestEnd.VALUE_CUT)
+                self._discard_value(entry)
         self._close_gracefully(ConnectionEnd.VALUE_CUT)
 
     def _close_write_side(self) -> None:
--- a/rainturn/node/client_connection.py
+++ b/rainturn/node/client_connection.py
@@ -61,6 +61,11 @@
         self._update_reading()
         return has_begun
 
+    def release_value(self, request: Request) -> None:
+        """Send what has come of a value that was to be sent whole, and the rest as it arrives."""
+        super().release_value(request)
+        self._update_reading()
+
     def _has_commands_behind(self, request: Request) -> bool:
         """Return whether commands behind the one of this request have been read, or are still being read.
 
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -31,7 +31,8 @@
 
     A long value is sent in pieces as they arrive, once the replies before it have been sent. If it breaks off
     after that, the connection has to end, because the protocol has no other sign for it. So a value that has
-    commands behind it is buffered and sent only once it is whole: they would get no reply.
+    commands behind it is buffered and sent only once it is whole: they would get no reply. Only one that its
+    host is still writing when its request is overdue is sent as it arrives all the same.
     """
 
     def __init__(self, clock: Clock, memory: MemoryAccount) -> None:
@@ -64,7 +65,7 @@
 
     def begin_value(self, request: Request, length: int) -> bool:
         """Begin a long value of `length` bytes; return False if it must be buffered and there is no room."""
-        if self._has_commands_behind(request):
+        if self._has_commands_behind(request) and not request.is_overdue:
             if not self.output.reserve(length):
                 return False
             self.queued_bytes += length
@@ -72,6 +73,12 @@
         self.send_piece(request, b"$%d\r\n" % length)
         return True
 
+    def release_value(self, request: Request) -> None:
+        """Send what has come of a value that was to be sent whole, and the rest as it arrives."""
+        self.queued_bytes -= request.reserved_bytes
+        request.is_buffered_whole, request.reserved_bytes = False, 0
+        self._flush()
+
     def _has_commands_behind(self, request: Request) -> bool:
         """Return whether commands behind the one of this request have been read, or are still being read."""
         raise NotImplementedError
@@ -109,7 +116,7 @@
         """Take back an incomplete long value; return whether the request can still get another reply.
 
         If a part of the value has been sent, the connection ends, so that the client sees that it is cut
-        short. No command behind it has been read in that case.
+        short.
         """
         is_sent = bool(self.pending) and self.pending[0] is request and not request.is_buffered_whole
         self._discard_value(request)
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -17,7 +17,7 @@
 from rainturn.node.request_deadlines import RequestDeadlines
 from rainturn.node.request_endings import RequestEndings
 from rainturn.node.request_ids import RequestIds
-from rainturn.node.requests import Attempt, Request, ValueSource, ValueTransfer
+from rainturn.node.requests import Attempt, Request, StreamStart, ValueSource, ValueTransfer
 
 log = logging.getLogger(__name__)
 
@@ -161,8 +161,13 @@
     def _on_deadline(self, request: Request) -> None:
         """End the attempts as timed out, and then the request itself if it is still open.
 
-        A value that is being sent as it arrives has begun in time; its attempt goes on.
+        A value that is being sent as it arrives has begun in time; its attempt goes on. An answer that its
+        host is still writing is awaited for a short time, and then sent as it arrives.
         """
+        if not (request.is_finished or request.is_streaming()):
+            if not request.has_grace and self._answer_in_progress(request) is not None:
+                return self.deadlines.extend(request)
+            self._stream_answer_in_progress(request)
         for attempt in request.attempts:
             if attempt is not None and not (request.is_streaming() and request.is_fed_by(attempt)):
                 self._time_out(attempt)
@@ -220,25 +225,24 @@
             self.hosts.drop(attempt)
             self.end_attempt(attempt, it.Outcome.CANCELLED)
 
-    def begin_streaming(self, attempt: Attempt, length: int, source: ValueSource) -> bool:
+    def begin_streaming(self, attempt: Attempt, length: int, source: ValueSource) -> StreamStart:
         """Begin to pass a long value of `length` bytes on to the client.
 
-        Deadlines no longer apply if it is sent as it arrives. Returns False if the value is not wanted: the
-        request has already ended, the value of another attempt has begun, or the request ends now, as there
-        is no memory to buffer the value.
+        Deadlines no longer apply if it is sent as it arrives. The request ends now if the value has to be
+        buffered and there is no room.
         """
         request = attempt.request
         if not request.is_unanswered():
-            return False
+            return StreamStart.UNWANTED
         request.transfer = ValueTransfer(attempt, source)
         if not request.client.begin_value(request, length):
             request.transfer = None
             self.endings.end_now(request, RequestEnd.NO_ROOM)
-            return False
+            return StreamStart.UNWANTED
         if request.is_streaming() and attempt.timer is not None:
             attempt.timer.cancel()
         self.dispatch(it.StreamBegan(request.number, attempt.number))
-        return True
+        return StreamStart.BEGUN
 
     def end_attempt(
         self,
@@ -314,6 +318,30 @@
             )
         return False
 
+    # Answers in progress at their deadline.
+
+    def _answer_in_progress(self, request: Request) -> Attempt | None:
+        """Return the attempt whose host is still writing its answer, if there is one."""
+        now, transfer = self.clock.now(), request.transfer
+        for attempt in request.attempts if transfer is None else [transfer.attempt]:
+            if attempt is not None and attempt.progress is not None and attempt.progress.is_steady(now):
+                return attempt
+        return None
+
+    def _stream_answer_in_progress(self, request: Request) -> None:
+        """Send an answer that its host is still writing as it arrives, also with commands behind it.
+
+        Their replies wait for its end, and are lost if it breaks off: its connection has to end then.
+        """
+        attempt = self._answer_in_progress(request)
+        if attempt is None or attempt.progress is None:
+            return
+        request.is_overdue = True
+        if request.transfer is None:
+            attempt.progress.source.stream_answer()
+        else:
+            request.client.release_value(request)
+
     # Timers.
 
     def _set_timer(self, action: it.SetTimer, now: float) -> None:
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -10,13 +10,14 @@
 from rainturn.node.host_sending import ConnectionOwner, SendingConnection
 from rainturn.node.input_buffer import READ_SIZE, READ_VIEW
 from rainturn.node.memory_account import MIN_HOLDING_BYTES
-from rainturn.node.requests import Attempt
+from rainturn.node.requests import Attempt, StreamStart
 from rainturn.node.resp import (
     LongValue,
     ProtocolError,
     check_fields,
     count_missing_bytes,
     parse_answer,
+    parse_value_head,
 )
 
 STALL_LIMIT_S = 10.0  # longest pause between two pieces of an answer; its request's deadline is often earlier
@@ -116,14 +117,23 @@
         now = self.pool.node.clock.now()
         if attempt.progress is not None:
             return attempt.progress.note_piece(now)
-        attempt.progress = AnswerProgress(now)
+        attempt.progress = AnswerProgress(self, now)
         self.pool.node.dispatch(it.AnswerBegan(attempt.request.number, attempt.number))
 
+    def stream_answer(self) -> None:
+        """Send the value of an answer that has come in part, of any length, to the client as it arrives."""
+        value = parse_value_head(self.buffer)
+        if self.attempt is not None and self.value_bytes_left is None and value is not None:
+            self.reserved_bytes = 0
+            self._begin_value(self.attempt, value)
+            self._update_memory()
+
     def _begin_value(self, attempt: Attempt, value: LongValue) -> None:
+        start = self.pool.node.begin_streaming(attempt, value.length, self)
+        if start is StreamStart.UNWANTED:
+            return self._close_unneeded()
         data, self.buffer = self.buffer[value.start :], b""
         self.value_bytes_left, self.fields_after_value = value.length, value.field_count
-        if not self.pool.node.begin_streaming(attempt, value.length, self):
-            return self._close_unneeded()
         self._forward_value(data)
 
     def _forward_value(self, data: bytes) -> None:
--- a/rainturn/node/request_deadlines.py
+++ b/rainturn/node/request_deadlines.py
@@ -9,6 +9,9 @@
 from rainturn.node.clock import Clock
 from rainturn.node.requests import Request
 
+# How long after its deadline a reply may begin: 500 ms by the protocol, less the delay of a busy event loop.
+REPLY_GRACE_MS = 400.0
+
 
 class RequestDeadlines:
     """Calls `on_deadline` with each request whose deadline has come.
@@ -39,6 +42,11 @@
             request.deadline = math.inf
             self.cancel(request)
 
+    def extend(self, request: Request) -> None:
+        """Call `on_deadline` once more when a reply must begin at the latest."""
+        request.has_grace = True
+        self._start_timer(request, request.deadline + REPLY_GRACE_MS)
+
     def cancel(self, request: Request) -> None:
         """Stop the timer of a request."""
         if request.deadline_timer is not None:
@@ -46,8 +54,11 @@
             request.deadline_timer = None
 
     def _set_timer(self, request: Request) -> None:
+        self._start_timer(request, request.deadline)
+
+    def _start_timer(self, request: Request, due: float) -> None:
         self.cancel(request)
-        delay_s = max(0.0, request.deadline - self.clock.now()) / 1000
+        delay_s = max(0.0, due - self.clock.now()) / 1000
         request.deadline_timer = self.loop.call_later(delay_s, self._expire, request)
 
     def _expire(self, request: Request) -> None:
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -62,6 +62,9 @@
 
     def send_failure(self, request: Request) -> None: ...
 
+    def release_value(self, request: Request) -> None:
+        pass
+
     def begin_value(self, request: Request, length: int) -> bool:
         return True
 
--- a/tests/test_slow_hosts.py
+++ b/tests/test_slow_hosts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.sockets import Client, GatewaySetup, run, success_answer, with_timeout
+from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
 
 VALUE = b"0123456789abcdef" * (1 << 14)  # 256 KiB
 LATE_ANSWER_S = 0.5  # later than this after its time a request counts as lost
@@ -133,3 +133,62 @@
 async def _answer_time(client: Client, started: float) -> float:
     await with_timeout(client.read_answer())
     return time.monotonic() - started
+
+
+def _stopping_writer(pauses_s: list[float], pieces_sent: int) -> SlowWriter:
+    """Return a host that writes some pieces of its long answer, then breaks the connection."""
+
+    class StoppingWriter(SlowWriter):
+        async def start(self, setup: GatewaySetup, value: bytes) -> asyncio.Server:
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                data = await reader.read(1 << 16)
+                if b"short" in data:
+                    writer.write(success_answer(b"short"))
+                    return
+                answer = success_answer(value)
+                size = len(answer) // len(self.pauses_s)
+                for n, pause_s in enumerate(self.pauses_s[:pieces_sent]):
+                    await asyncio.sleep(pause_s)
+                    writer.write(answer[size * n : size * (n + 1)])
+                reset(writer)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
+            return server
+
+    return StoppingWriter(pauses_s)
+
+
+def test_a_value_that_breaks_off_just_after_its_deadline_does_not_take_the_replies_behind_it_along() -> None:
+    """Guards against beginning to send a value at its deadline that its host does not complete."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await _stopping_writer([0.2] * 20, 6).start(setup, VALUE)  # breaks off after 1.2 s
+            client = await setup.client()
+            client.send_request(b"slow", b"pay", time_limit_ms=1000, body=b"x")
+            client.send_request(b"short", time_limit_ms=1000)
+            assert await client.read_answer() == "-ERR failed"
+            assert await client.read_answer() == b"short"
+            server.close()
+
+    run(main())
+
+
+def test_a_value_that_breaks_off_long_after_its_deadline_ends_its_connection_and_frees_everything() -> None:
+    """The price of sending it as it arrives: its client sees that it is cut, and nothing is left of it."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await _stopping_writer([0.1] * 30, 20).start(setup, VALUE)  # breaks off after 2 s
+            client = await setup.client()
+            client.send_request(b"slow", time_limit_ms=500)
+            client.send_request(b"short", time_limit_ms=500)
+            data = await with_timeout(client.reader.read())
+            assert data.startswith(b"$%d\r\n" % len(VALUE)) and len(VALUE) // 3 < len(data) < len(VALUE)
+            client.writer.close()
+            await setup.wait_until_idle()
+            assert setup.parts.node.end_log.counts["connection.value_cut"] == 1
+            server.close()
+
+    run(main())
