A long value with commands behind it waits for room in the memory account

What callers saw: with a full account such a value was refused at once, or failed if its class may not run twice, although its host had run the request and was giving the answer.

Cause: the reservation for the whole value was tried once, and its failure ended the request.

Change: reading from the host pauses until bytes are released, as for answers up to 64 KiB, and the reservation is tried again; the request's deadline stays, and a value larger than the account is refused at once.

Evidence: the new test, in three classes, fails on the code before (3 of 3) and passes.

--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -228,8 +228,8 @@
     def begin_streaming(self, attempt: Attempt, length: int, source: ValueSource) -> StreamStart:
         """Begin to pass a long value of `length` bytes on to the client.
 
-        Deadlines no longer apply if it is sent as it arrives. The request ends now if the value has to be
-        buffered and there is no room.
+        Deadlines no longer apply if it is sent as it arrives. If it has to be buffered and there is no room,
+        it may be tried again later; the request ends now if there can never be room.
         """
         request = attempt.request
         if not request.is_unanswered():
@@ -237,6 +237,8 @@
         request.transfer = ValueTransfer(attempt, source)
         if not request.client.begin_value(request, length):
             request.transfer = None
+            if length <= self.memory.limit_bytes:
+                return StreamStart.NO_ROOM
             self.endings.end_now(request, RequestEnd.NO_ROOM)
             return StreamStart.UNWANTED
         if request.is_streaming() and attempt.timer is not None:
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -130,6 +130,9 @@
 
     def _begin_value(self, attempt: Attempt, value: LongValue) -> None:
         start = self.pool.node.begin_streaming(attempt, value.length, self)
+        if start is StreamStart.NO_ROOM:
+            self._note_piece(attempt)
+            return self._await_room()
         if start is StreamStart.UNWANTED:
             return self._close_unneeded()
         data, self.buffer = self.buffer[value.start :], b""
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -77,6 +77,7 @@
 
     BEGUN = enum.auto()
     UNWANTED = enum.auto()  # its request has ended, or has the value of another attempt
+    NO_ROOM = enum.auto()  # it has to be buffered whole, and there is no room for it yet
 
 
 class Progress(Protocol):
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -13,9 +13,11 @@
 
 from rainturn import interface as it
 from rainturn.node import client_input, client_timeouts, host_connection, shutdown
+from rainturn.node.memory_account import Holding
+from rainturn.node.requests import Request
 from rainturn.node.resp import encode_array
 from tests.helpers import LIMITS, GatewayDriver, of_type, settings
-from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
+from tests.sockets import Client, GatewaySetup, reset, run, success_answer, wait_until, with_timeout
 from tests.test_audit_clients import SlowReader
 from tests.test_node_size import ScriptedHost
 
@@ -362,3 +364,31 @@
             scripted_host.server.close()
 
     run(main())
+
+
+@pytest.mark.parametrize("class_name", [b"read", b"send", b"pay"])
+def test_long_value_with_commands_behind_it_waits_for_room_in_a_full_account(class_name: bytes) -> None:
+    """Guards against refusing, or failing, a value that its host gives while another one uses the account."""
+
+    async def scenario(setup: GatewaySetup, host: BreakingHost) -> None:
+        memory, client = setup.parts.node.memory, await setup.client()
+        other = Holding(memory)
+        other.resize(memory.limit_bytes - LENGTH)  # the objects of the requests take the rest of the room
+        body = None if class_name == b"read" else b"body"
+        for ident, time_limit_ms in ((b"long", 5000), (b"long2", 400)):
+            key = b"k=%s," % ident.hex().encode() if class_name == b"send" else b""
+            client.send_request(ident, class_name, time_limit_ms, key, body)
+        _send_behind(client)
+        (connection,) = setup.parts.clients.connections
+        await wait_until(lambda: len(connection.pending) == 2 + len(BEHIND))
+        second = connection.pending[1]
+        assert isinstance(second, Request)
+        await wait_until(lambda: second.is_finished)
+        assert host.runs.count(b"long") == 1
+        other.resize(0)
+        assert await client.read_answer() == VALUE
+        assert str(await client.read_answer()).startswith("-BUSY" if class_name == b"read" else "-ERR")
+        assert [await client.read_answer() for _ in BEHIND] == [b"value"] * len(BEHIND)
+        client.writer.close()
+
+    _break_off(scenario, times=0)
