A value that is on its way when the process ends is not cut before SIGKILL

Cause: the shutdown ended every open request 0.5 s before SIGKILL may come, also those whose value was on its way and could get no other reply.

--- a/tests/test_slow_hosts.py
+++ b/tests/test_slow_hosts.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from rainturn.node import shutdown
 from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
 
 VALUE = b"0123456789abcdef" * (1 << 14)  # 256 KiB
@@ -192,3 +193,24 @@
             server.close()
 
     run(main())
+
+
+def test_a_value_that_is_being_sent_at_the_end_of_a_shutdown_is_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against cutting a value that its host still writes before SIGKILL does."""
+    monkeypatch.setattr(shutdown, "ACCEPT_AFTER_SIGTERM_S", 0.0)
+    monkeypatch.setattr(shutdown, "LONGEST_DEADLINE_S", 0.0)
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await SlowWriter([0.0] + [0.2] * 5).start(setup, VALUE)
+            client = await setup.client()
+            client.send_request(b"slow")
+            assert await with_timeout(client.reader.readexactly(len(b"$%d\r\n" % len(VALUE))))
+            ending = asyncio.create_task(shutdown.shut_down(setup.parts, False))
+            assert await with_timeout(client.reader.readexactly(len(VALUE))) == VALUE
+            await with_timeout(ending)
+            server.close()
+
+    run(main())
