A connection whose host writes the fields behind a value late is kept and used again

What hosts saw: a connection was closed 0.5 s after the value if the fields behind it had not come, whatever the host was still writing; the next request then paid for a new connection.

Cause: the same mistake as with the pauses of answers, a fixed limit far shorter than a request's time. It was short so that hosts that leave out the fields could not use up the limit on connections.

Change: the fields may take 10 s, like a pause, and connections that wait for them are the first to give way when a new connection needs a place.

Evidence: two new tests; the first fails on the code before, the second guards the limit.

--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -23,7 +23,7 @@
 STALL_LIMIT_S = 10.0  # longest pause between two pieces of an answer; its request's deadline is often earlier
 # Longest pause between two pieces of a long value, which is streamed to the client.
 VALUE_STALL_LIMIT_S = 10.0
-FIELDS_LIMIT_S = 0.5  # how long the fields after a value may take
+FIELDS_LIMIT_S = 10.0  # how long the fields after a value may take; no request waits for them
 MIN_READ_BYTES = MIN_ANSWER_BYTES = MIN_HOLDING_BYTES  # what is read of an answer whatever the account holds
 
 
@@ -197,10 +197,11 @@
     def _finish_answer(self) -> None:
         complete = check_fields(self.buffer, 0, self.fields_expected or 0)
         if complete is None:
-            # One time limit covers all fields. No request waits for them, and with a limit per piece, a host
-            # that sends a few bytes now and then would occupy the connection forever.
+            # One time limit covers all fields: with a limit per piece, a host that sends a few bytes now and
+            # then would occupy the connection forever.
             if self.stall_timer is None:
                 self._set_stall_timer(FIELDS_LIMIT_S, self._close_without_fields)
+                self.pool.keep_for_fields(self)
             return
         if not complete:
             # Bytes that follow a valid answer must not be taken for the answer to the next request.
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from itertools import chain
 from typing import cast
 
 from rainturn import interface as it
@@ -189,11 +190,18 @@
         moved = connection.address != self.address
         if self.is_leaving or moved or connection.closed or self.pools.closing:
             return connection.close(ConnectionEnd.HOST_CHANGED)
+        self.pools.awaiting_fields.pop(connection, None)
         self.idle_connections.append(connection)
         self.pools.idle_connections[connection] = None
         if self.idle_timer is None:
             self.idle_timer = self.node.loop.call_later(self.idle_limit_ms / 1000, self._close_expired)
 
+    def keep_for_fields(self, connection: SendingConnection) -> None:
+        """Keep a connection whose last answer lacks its fields, until they come or its place is needed."""
+        if self.pools.closing:
+            return connection.close(ConnectionEnd.DRAINED)
+        self.pools.awaiting_fields[connection] = None
+
     def _close_expired(self) -> None:
         """Close the connections that have reached the idle limit, and set the timer for the next one."""
         now = self.node.clock.now()
@@ -223,6 +231,7 @@
         """Remove a closed connection from the pool."""
         if connection in self.connections:
             self.connections.discard(connection)
+            self.pools.awaiting_fields.pop(connection, None)
             self.pools.open_connections -= 1
         if connection in self.pools.idle_connections:
             self._remove_idle(connection)
@@ -250,6 +259,8 @@
         self.pools: dict[int, HostPool] = {}
         # The idle connections of all pools; the one that has been idle longest is first.
         self.idle_connections: OrderedDict[SendingConnection, None] = OrderedDict()
+        # Those whose last answer lacks its fields, in the order of the answers. They give way to new ones.
+        self.awaiting_fields: OrderedDict[SendingConnection, None] = OrderedDict()
         self.leaving_pools: set[HostPool] = set()  # pools in which attempts wait for a leaving host
         self.open_connections = self.connecting_count = 0  # in all pools
         self.closing = False  # whether connections are closed when their attempt ends
@@ -325,10 +336,11 @@
             pool.forget_if_unused()
 
     def make_room(self) -> bool:
-        """Whether the limit allows one more connection; closes the oldest idle connection if necessary."""
+        """Whether the limit allows one more connection; closes one that has no attempt if necessary."""
         if self.open_connections + self.connecting_count < self.max_connections:
             return True
-        if not self.idle_connections:
+        unused = next(chain(self.awaiting_fields, self.idle_connections), None)
+        if unused is None:
             return False
-        next(iter(self.idle_connections)).close(ConnectionEnd.EVICTED)
+        unused.close(ConnectionEnd.EVICTED)
         return True
--- a/rainturn/node/host_sending.py
+++ b/rainturn/node/host_sending.py
@@ -36,6 +36,9 @@
     def release(self, connection: SendingConnection) -> None:
         """Keep a connection without an attempt as idle if it may be reused; otherwise close it."""
 
+    def keep_for_fields(self, connection: SendingConnection) -> None:
+        """Keep a connection whose last answer lacks its fields, until they come or its place is needed."""
+
     def remove(self, connection: SendingConnection) -> None:
         """Remove a closed connection from the pool."""
 
--- a/tests/test_slow_hosts.py
+++ b/tests/test_slow_hosts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rainturn.node import shutdown
-from tests.sockets import Client, GatewaySetup, reset, run, success_answer, with_timeout
+from tests.sockets import Client, GatewaySetup, reset, run, success_answer, wait_until, with_timeout
 
 VALUE = b"0123456789abcdef" * (1 << 14)  # 256 KiB
 LATE_ANSWER_S = 0.5  # later than this after its time a request counts as lost
@@ -214,3 +214,46 @@
             server.close()
 
     run(main())
+
+
+async def _serve_fields_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer each command, and write the fields behind the value 0.7 s after it."""
+    while await reader.read(1 << 16):
+        answer = success_answer()
+        writer.write(answer[:-10])
+        await asyncio.sleep(0.7)
+        writer.write(answer[-10:])
+
+
+def test_a_connection_whose_host_writes_the_fields_behind_a_value_late_is_used_again() -> None:
+    """Guards against closing a connection on which the host is still writing."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            server = await asyncio.start_server(_serve_fields_late, "127.0.0.1", 0)
+            pool = setup.parts.pools.pools[1]
+            pool.address = server.sockets[0].getsockname()
+            client = await setup.client()
+            client.send_request(b"1")
+            assert await client.read_answer() == b"value"
+            (connection,) = pool.connections
+            await wait_until(lambda: connection in pool.idle_connections)
+            assert not setup.parts.pools.awaiting_fields
+            server.close()
+
+    run(main())
+
+
+def test_connections_that_await_fields_give_way_to_new_ones() -> None:
+    """Guards against hosts that leave out the fields using up the limit on connections."""
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()[:-10]) as setup:
+            setup.parts.pools.max_connections = 1
+            client = await setup.client()
+            for ident in (b"1", b"2", b"3"):
+                client.send_request(ident)
+                assert await client.read_answer() == b"value"
+            assert len(setup.parts.pools.awaiting_fields) == len(setup.parts.pools.pools[1].connections) == 1
+
+    run(main())
