An answer up to 64 KiB ends at its deadline, 0.4 s later at most if it is being written

What was wrong: since an answer of any length was sent as it arrives from 0.4 s after its deadline on. An endless answer of 60 KB then held its request for good, where test_standing_hosts demands an end at the deadline.

Cause: a value up to 64 KiB is sent only once it is whole; that its request has one deadline is a promise that the longer, streamed ones do not make.

Change: only a long value is sent as it arrives after its deadline.

--- a/rainturn/node/answer_progress.py
+++ b/rainturn/node/answer_progress.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from rainturn.node.requests import ValueSource
-
 SHORT_PAUSE_MS = 100.0  # a pause that shows nothing, however fast the pieces before it came
 PAUSE_FACTOR = 2.0  # a host whose pause is longer than its longest one by this factor has stopped
 
 
 class AnswerProgress:
-    """When the pieces of an answer came, and from where. Times are Unix time in ms."""
+    """When the pieces of an answer came. Times are Unix time in ms."""
 
-    __slots__ = ("source", "last_piece_at", "longest_pause_ms")
+    __slots__ = ("last_piece_at", "longest_pause_ms")
 
-    def __init__(self, source: ValueSource, began_at: float) -> None:
-        self.source, self.last_piece_at = source, began_at
+    def __init__(self, began_at: float) -> None:
+        self.last_piece_at = began_at
         self.longest_pause_ms = 0.0
 
     def note_piece(self, now: float) -> None:
--- a/rainturn/node/client_replies.py
+++ b/rainturn/node/client_replies.py
@@ -32,7 +32,7 @@
     A long value is sent in pieces as they arrive, once the replies before it have been sent. If it breaks off
     after that, the connection has to end, because the protocol has no other sign for it. So a value that has
     commands behind it is buffered and sent only once it is whole: they would get no reply. Only one that its
-    host is still writing when its request is overdue is sent as it arrives all the same.
+    host is still writing some time after its deadline is sent as it arrives all the same.
     """
 
     def __init__(self, clock: Clock, memory: MemoryAccount) -> None:
@@ -65,7 +65,7 @@
 
     def begin_value(self, request: Request, length: int) -> bool:
         """Begin a long value of `length` bytes; return False if it must be buffered and there is no room."""
-        if self._has_commands_behind(request) and not request.is_overdue:
+        if self._has_commands_behind(request):
             if not self.output.reserve(length):
                 return False
             self.queued_bytes += length
--- a/rainturn/node/gateway.py
+++ b/rainturn/node/gateway.py
@@ -162,12 +162,12 @@
         """End the attempts as timed out, and then the request itself if it is still open.
 
         A value that is being sent as it arrives has begun in time; its attempt goes on. An answer that its
-        host is still writing is awaited for a short time, and then sent as it arrives.
+        host is still writing is awaited for a short time; a long value is then sent as it arrives.
         """
         if not (request.is_finished or request.is_streaming()):
             if not request.has_grace and self._answer_in_progress(request) is not None:
                 return self.deadlines.extend(request)
-            self._stream_answer_in_progress(request)
+            self._stream_value_in_progress(request)
         for attempt in request.attempts:
             if attempt is not None and not (request.is_streaming() and request.is_fed_by(attempt)):
                 self._time_out(attempt)
@@ -330,18 +330,12 @@
                 return attempt
         return None
 
-    def _stream_answer_in_progress(self, request: Request) -> None:
-        """Send an answer that its host is still writing as it arrives, also with commands behind it.
+    def _stream_value_in_progress(self, request: Request) -> None:
+        """Send a long value that its host is still writing as it arrives, also with commands behind it.
 
         Their replies wait for its end, and are lost if it breaks off: its connection has to end then.
         """
-        attempt = self._answer_in_progress(request)
-        if attempt is None or attempt.progress is None:
-            return
-        request.is_overdue = True
-        if request.transfer is None:
-            attempt.progress.source.stream_answer()
-        else:
+        if request.transfer is not None and self._answer_in_progress(request) is not None:
             request.client.release_value(request)
 
     # Timers.
--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -17,7 +17,6 @@
     check_fields,
     count_missing_bytes,
     parse_answer,
-    parse_value_head,
 )
 
 STALL_LIMIT_S = 10.0  # longest pause between two pieces of an answer; its request's deadline is often earlier
@@ -117,17 +116,9 @@
         now = self.pool.node.clock.now()
         if attempt.progress is not None:
             return attempt.progress.note_piece(now)
-        attempt.progress = AnswerProgress(self, now)
+        attempt.progress = AnswerProgress(now)
         self.pool.node.dispatch(it.AnswerBegan(attempt.request.number, attempt.number))
 
-    def stream_answer(self) -> None:
-        """Send the value of an answer that has come in part, of any length, to the client as it arrives."""
-        value = parse_value_head(self.buffer)
-        if self.attempt is not None and self.value_bytes_left is None and value is not None:
-            self.reserved_bytes = 0
-            self._begin_value(self.attempt, value)
-            self._update_memory()
-
     def _begin_value(self, attempt: Attempt, value: LongValue) -> None:
         start = self.pool.node.begin_streaming(attempt, value.length, self)
         if start is StreamStart.NO_ROOM:
--- a/rainturn/node/requests.py
+++ b/rainturn/node/requests.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from rainturn import interface as it
+from rainturn.node.answer_progress import AnswerProgress
 from rainturn.node.body import Body
 
 
@@ -35,8 +36,7 @@
     def begin_value(self, request: Request, length: int) -> bool:
         """Begin a long value of `length` bytes; return False if there is no room for one that must wait.
 
-        A value whose commands behind it have been read is sent only once it is whole, unless the request is
-        overdue.
+        A value whose commands behind it have been read is sent only once it is whole.
         """
 
     def release_value(self, request: Request) -> None:
@@ -68,9 +68,6 @@
     def resume_value(self) -> None:
         """Send more of the value."""
 
-    def stream_answer(self) -> None:
-        """Begin to send a value that has come in part, whatever its length."""
-
 
 class StreamStart(enum.Enum):
     """What becomes of a long value that has begun to arrive."""
@@ -80,18 +77,6 @@
     NO_ROOM = enum.auto()  # it has to be buffered whole, and there is no room for it yet
 
 
-class Progress(Protocol):
-    """What is known of the pieces in which an answer comes."""
-
-    source: ValueSource
-
-    def note_piece(self, now: float) -> None:
-        """Record that a further piece has come at `now` (Unix time in ms)."""
-
-    def is_steady(self, now: float) -> bool:
-        """Return whether the host is still writing."""
-
-
 class ValueTransfer(NamedTuple):
     """The transfer of a long value from the host of one attempt to the client."""
 
@@ -126,7 +111,6 @@
         "reserved_bytes",
         "time_limit_ms",
         "has_grace",
-        "is_overdue",
         "began_at",
         "sent_bytes",
     )
@@ -165,7 +149,6 @@
         self.may_have_run = False  # whether an ended attempt may have run at its host
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.has_grace = False  # whether its deadline has come, and an answer in progress is awaited
-        self.is_overdue = False  # whether that time is over too: the answer is sent as it arrives
         self.began_at = 0.0  # when it was registered
         self.sent_bytes = 0  # of its reply, given to the connection of its client
 
@@ -240,7 +223,7 @@
         self.begin_by = begin_by  # a repeat that gets its connection later is no longer safe and is not sent
         self.connection: object | None = None  # set once the command has been written to it
         self.timer: asyncio.TimerHandle | None = None
-        self.progress: Progress | None = None  # of its answer, once a part of it has come
+        self.progress: AnswerProgress | None = None  # once a part of its answer has come
         self.connection_number = 0  # of its connection, by which log lines refer to it; 0: it had none yet
         self.sent_bytes = self.received_bytes = 0  # on its connection
 
--- a/rainturn/node/resp.py
+++ b/rainturn/node/resp.py
@@ -174,15 +174,6 @@
     return Answer(data[start:end], b"", end + 2, int(header[1]) - 1)
 
 
-def parse_value_head(data: bytes) -> LongValue | None:
-    """Parse the beginning of an incomplete answer; return None unless a part of its value has come."""
-    header = _ANSWER_HEADER.match(data)
-    value = _parse_string_header(data, header.end()) if header is not None else None
-    if header is None or value is None or len(data) == value[0]:
-        return None
-    return LongValue(*value, int(header[1]) - 1)
-
-
 def count_missing_bytes(data: bytes) -> int | None:
     """Return how many bytes of an incomplete answer's value are still to come; None before its length has."""
     header = _ANSWER_HEADER.match(data)
