A timer that is set for now from within a timer no longer stops the process for good

Cause: timers run up to 0.01 ms early. A check of silence that ran so early waited for the rest, and was due again at once, within the same pass of the queue, without end.

Change: a pass runs only the timers that were due when it began.

--- a/rainturn/timers.py
+++ b/rainturn/timers.py
@@ -43,17 +43,26 @@
             self.actions.append(it.SetTimer(delay, 0))
 
     def run_due(self, now: float) -> None:
-        """Run the callbacks that are due, and set a timer for the next one."""
+        """Run the callbacks that are due, and set a timer for the next one.
+
+        Those that are set meanwhile run later, even if they are due at once. Guards against a callback that
+        sets itself again for now and is run without end.
+        """
         if now < self.armed_for - EARLY_TOLERANCE_MS:
             return  # this timer was replaced by an earlier one
         self.armed_for = now  # callbacks that schedule others set no timer: one is set at the end
-        while self.entries and self.entries[0].due <= now + EARLY_TOLERANCE_MS:
-            entry = heapq.heappop(self.entries)
+        for entry in self._take_due(now):
             entry.callback(now, *entry.arguments)
         self.armed_for = self.entries[0].due if self.entries else math.inf
         if self.entries:
             self.actions.append(it.SetTimer(max(MIN_DELAY_MS, self.armed_for - now), 0))
 
+    def _take_due(self, now: float) -> list[TimerEntry]:
+        due: list[TimerEntry] = []
+        while self.entries and self.entries[0].due <= now + EARLY_TOLERANCE_MS:
+            due.append(heapq.heappop(self.entries))
+        return due
+
 
 class HoldTimers:
     """Runs a callback when the time for which a request may be held is over.
