Silence counts from when a host has read a command, not from when its machine has it

What hosts saw: a command of 30 to 60 KB that its host read slowly was moved as soon as the host's machine had all of it, with the rest still in its buffers.

Change: TransferWatch takes what a machine acknowledges at once for the size of its buffers, and waits for as long as the host needs for that at its rate.

What fits into the host's buffers whole cannot be told from silence; such cases are not expected to be served.

--- a/rainturn/node/host_sending.py
+++ b/rainturn/node/host_sending.py
@@ -15,11 +15,11 @@
 from rainturn.node.requests import Attempt
 from rainturn.node.resp import OutgoingConnection, count_unsent_bytes, encode_array, end_sending
 from rainturn.node.send_progress import SendProgress
+from rainturn.node.transfer_watch import TransferWatch
 
 UPLOAD_STALL_LIMIT_S = 10.0  # how long a host may accept no byte of a streamed request body
 WATCHED_COMMAND_BYTES = 4096  # shorter commands fit into a host's receive buffer
 TRANSFER_CHECK_S = 0.02
-TRANSFER_PAUSE_LIMIT_MS = 1000.0  # a host that takes nothing of a command for so long has stopped reading
 
 
 class ConnectionOwner(Protocol):
@@ -108,7 +108,7 @@
             return body.attach(self)
         self._count_sent()
         if len(command) > WATCHED_COMMAND_BYTES:
-            self._begin_transfer(now)
+            self._begin_transfer(len(command), now)
 
     def send_body_piece(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -146,27 +146,23 @@
 
     # Whether the host takes a command that is sent at once. A body that is streamed cannot be moved anyway.
 
-    def _begin_transfer(self, now: float) -> None:
+    def _begin_transfer(self, size: int, now: float) -> None:
         """Tell the decision module that the host's silence shows nothing while it takes the command."""
         self._tell_transfer(True)
-        self.send_progress.has_advanced(self.transport)  # what it has taken before does not count
-        self._check_transfer(now)
+        self._check_transfer(TransferWatch(size, now))
 
-    def _check_transfer(self, advanced_at: float) -> None:
-        """Follow the transfer, which last advanced at `advanced_at` (Unix time in ms), to its end."""
+    def _check_transfer(self, watch: TransferWatch) -> None:
+        """Follow the transfer of a command to its end."""
         self.transfer_timer = None
         if self.closed or self.attempt is None:
             return
         now = self.pool.node.clock.now()
-        has_all = not count_unsent_bytes(self.transport)
-        if self.send_progress.has_advanced(self.transport):
-            advanced_at = now
-        is_under_way = not has_all and now - advanced_at <= TRANSFER_PAUSE_LIMIT_MS
-        if is_under_way != self.is_transfer_under_way:
-            self._tell_transfer(is_under_way)
-        if not has_all:
+        watch.note(count_unsent_bytes(self.transport), now)
+        if watch.is_under_way(now) != self.is_transfer_under_way:
+            self._tell_transfer(watch.is_under_way(now))
+        if not watch.is_over(now):
             self.transfer_timer = self.pool.node.loop.call_later(
-                TRANSFER_CHECK_S, self._check_transfer, advanced_at
+                TRANSFER_CHECK_S, self._check_transfer, watch
             )
 
     def _tell_transfer(self, is_under_way: bool) -> None:
