--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -17,7 +17,7 @@
 from rainturn.node.configuration import Config, read_config
 from rainturn.node.handover import Handover, inherited_listener
 from rainturn.node.handover_state import predecessor_clock, restore_predecessor_state, state_for_successor
-from rainturn.node.log_output import NonBlockingHandler
+from rainturn.node.log_output import LogOutput
 from rainturn.node.reload import Reload
 from rainturn.node.shutdown import shut_down
 from rainturn.node.system_errors import open_listening_socket
@@ -39,7 +39,7 @@
     share_connection_budget(parts, other_descriptors, is_older)
 
 
-async def serve(config: Config, descriptors: int) -> None:
+async def serve(config: Config, descriptors: int, log_output: LogOutput) -> None:
     """Serve until SIGTERM or SIGINT, then answer all open requests and return.
 
     On SIGHUP the configuration file is read again. `descriptors` is how many the process may hold.
@@ -62,6 +62,7 @@
         )
     state = await handover.request_state() if handover is not None else None
     parts = assemble(config, descriptors, loop, predecessor_clock(state))
+    parts.node.end_log.write, log_output.call_later = log_output.add_line, loop.call_later
     if state is not None:
         restore_predecessor_state(parts, state)
     if listener is None:
@@ -91,6 +92,7 @@
         handover.announce_end()
     parts.control.stop()
     await parts.discovery.stop()
+    log_output.call_later = None  # the loop ends
     log.info("%s: stopped", config.name)
     # Guards against a signal changing the exit status while the loop removes its signal handlers.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
@@ -98,8 +100,9 @@
 
 def main() -> int:
     """Run the gateway and return its exit code."""
+    log_output = LogOutput(sys.stderr.fileno())
     logging.basicConfig(
-        handlers=[NonBlockingHandler(sys.stderr.fileno())],
+        handlers=[log_output],
         level=logging.INFO,
         format="%(asctime)s %(levelname)s %(message)s",
     )
@@ -108,7 +111,7 @@
         config = read_config(os.environ)
         descriptors = apply_limits(config)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, descriptors))
+            runner.run(serve(config, descriptors, log_output))
     except (ValueError, OSError) as error:
         print(f"rainturn: {error}", file=sys.stderr)
         return 1
--- a/rainturn/node/end_log.py
+++ b/rainturn/node/end_log.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
 from rainturn.interface import Outcome, RefusalReason
@@ -89,19 +90,24 @@
     age_ms: float
     time_left_ms: float  # infinite where no deadline is set
 
-    def __str__(self) -> str:
-        left = "none" if math.isinf(self.time_left_ms) else f"{round(self.time_left_ms)}"
+    def text(self) -> str:
+        """Return the fields of a log line."""
+        left = "none" if math.isinf(self.time_left_ms) else round(self.time_left_ms)
         return (
             f"received={self.received_bytes} sent={self.sent_bytes} age_ms={self.age_ms:.0f} left_ms={left}"
         )
 
 
 class EndLog:
-    """Logs each end, and counts the ends by kind and reason."""
+    """Logs each end, and counts the ends by kind and reason.
+
+    `write` takes the lines; without it they go through the `logging` module.
+    """
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()  # by `kind.reason`
         self.last_connection = 0
+        self.write: Callable[[str], None] | None = None
 
     def number_connection(self) -> int:
         """Return the number of a new connection, by which log lines refer to it."""
@@ -112,22 +118,18 @@
         self,
         request_id: bytes,
         connection: int,
-        class_name: int,
+        class_number: int,
         attempts: int,
         reason: RequestEnd | RefusalReason,
         traffic: Traffic,
     ) -> None:
         """Record the end of a request; `connection` is its client's."""
         self.counts[f"request.{reason.value}"] += 1
-        log.info(
-            "end request id=%s connection=%d class=%d attempts=%d reason=%s %s",
-            request_id.decode("ascii", "replace"),
-            connection,
-            class_name,
-            attempts,
-            reason.value,
-            traffic,
-        )
+        if self._is_enabled():
+            self._log(
+                f"end request id={request_id.decode('ascii', 'replace')} connection={connection} "
+                f"class={class_number} attempts={attempts} reason={reason.value} {traffic.text()}"
+            )
 
     def attempt(
         self,
@@ -140,17 +142,23 @@
     ) -> None:
         """Record the end of an attempt; `connection` is 0 if it had none yet."""
         self.counts[f"attempt.{reason.value}"] += 1
-        log.info(
-            "end attempt id=%s number=%d host=%d connection=%d reason=%s %s",
-            request_id.decode("ascii", "replace"),
-            number,
-            host,
-            connection,
-            reason.value,
-            traffic,
-        )
+        if self._is_enabled():
+            self._log(
+                f"end attempt id={request_id.decode('ascii', 'replace')} number={number} host={host} "
+                f"connection={connection} reason={reason.value} {traffic.text()}"
+            )
 
     def connection(self, peer: str, number: int, reason: ConnectionEnd, traffic: Traffic) -> None:
         """Record the end of a connection; `peer` says whose it is."""
         self.counts[f"connection.{reason.value}"] += 1
-        log.info("end connection peer=%s number=%d reason=%s %s", peer, number, reason.value, traffic)
+        if self._is_enabled():
+            self._log(f"end connection peer={peer} number={number} reason={reason.value} {traffic.text()}")
+
+    def _is_enabled(self) -> bool:
+        return self.write is not None or log.isEnabledFor(logging.INFO)
+
+    def _log(self, line: str) -> None:
+        if self.write is not None:
+            self.write(line)
+        else:
+            log.info("%s", line)
--- a/tests/test_end_log.py
+++ b/tests/test_end_log.py
@@ -5,10 +5,11 @@
 import logging
 import os
 import re
+from collections.abc import Callable
 
 import pytest
 
-from rainturn.node.log_output import NonBlockingHandler
+from rainturn.node.log_output import LogOutput
 from tests.sockets import GatewaySetup, reset, run, success_answer, wait_until
 
 END = re.compile(
@@ -74,7 +75,7 @@
 def test_log_whose_reader_stands_still_is_cut_short_and_does_not_wait() -> None:
     """Guards against a full pipe that stops the event loop."""
     reader, writer = os.pipe()
-    handler = NonBlockingHandler(writer)
+    handler = LogOutput(writer)
     record = logging.LogRecord("name", logging.INFO, "", 0, "%s", ("x" * 1000,), None)
     for _ in range(200):
         handler.emit(record)  # more than a pipe takes
@@ -91,7 +92,24 @@
 
 def test_long_line_is_written_whole() -> None:
     reader, writer = os.pipe()
-    NonBlockingHandler(writer).emit(logging.LogRecord("n", logging.INFO, "", 0, "y" * 9000, (), None))
+    LogOutput(writer).emit(logging.LogRecord("n", logging.INFO, "", 0, "y" * 9000, (), None))
     assert os.read(reader, 1 << 16) == b"y" * 9000 + b"\n"
     os.close(reader)
     os.close(writer)
+
+
+def test_frequent_lines_are_written_together_and_before_a_later_record() -> None:
+    reader, writer = os.pipe()
+    output, soon = LogOutput(writer), list[Callable[[], None]]()
+    output.call_later = lambda delay_s, function: soon.append(function)
+    output.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    for n in range(2):
+        output.add_line(f"line {n}")
+    assert len(soon) == 1
+    output.emit(logging.LogRecord("n", logging.INFO, "", 0, "record", (), None))
+    soon[0]()  # nothing is left
+    lines = os.read(reader, 1 << 16).decode().splitlines()
+    assert [line[24:] for line in lines] == ["INFO line 0", "INFO line 1", "INFO record"]
+    assert all(re.match(r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3} ", line) for line in lines)
+    os.close(reader)
+    os.close(writer)
