Only bytes that arrive count as progress of an answer

An answer that waits for room in the memory account was parsed again with each release of bytes, and each time counted as a piece that had come. Found by reading; 95 tests of hosts, values and slow peers pass.

--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -60,7 +60,10 @@
         self.buffer = self.buffer + data if self.buffer else data
         if self.fields_expected is not None:
             return self._finish_answer()
+        attempt = self.attempt
         self._parse_answer()
+        if attempt is not None and self.attempt is attempt and self.value_bytes_left is None:
+            self._note_piece(attempt)  # its answer is not whole yet
 
     def _parse_answer(self) -> None:
         attempt = self.attempt
@@ -71,7 +74,6 @@
         except ProtocolError:
             return self.fail_malformed()
         if reply is None:
-            self._note_piece(attempt)
             return self._await_rest()
         if isinstance(reply, LongValue):
             return self._begin_value(attempt, reply)
@@ -122,7 +124,6 @@
     def _begin_value(self, attempt: Attempt, value: LongValue) -> None:
         start = self.pool.node.begin_streaming(attempt, value.length, self)
         if start is StreamStart.NO_ROOM:
-            self._note_piece(attempt)
             return self._await_room()
         if start is StreamStart.UNWANTED:
             return self._close_unneeded()
