Connections rest longer once a host's second answer has come late

Cause: a connection is used again 10 ms after its answer, however late second answers have been seen to come.

Change: bytes on a connection without an attempt are taken for a second answer. From then on all connections rest for twice its lateness, up to 0.1 s; where no host answers twice nothing changes.

--- a/rainturn/node/host_connection.py
+++ b/rainturn/node/host_connection.py
@@ -68,6 +68,7 @@
     def _parse_answer(self) -> None:
         attempt = self.attempt
         if attempt is None:
+            self.pool.note_second_answer(self.pool.node.clock.now() - self.idle_since)
             return self.close(ConnectionEnd.UNSOLICITED)
         try:
             reply = parse_answer(self.buffer)
--- a/rainturn/node/host_pools.py
+++ b/rainturn/node/host_pools.py
@@ -18,6 +18,8 @@
 
 # Idle time before a connection is reused: an unwanted second answer of a host arrives a few ms late.
 REUSE_DELAY_MS = 10.0
+LONGEST_REUSE_DELAY_MS = 100.0  # where second answers come later than that time
+SECOND_ANSWER_FACTOR = 2.0  # the idle time is longer than the latest second answer by this factor
 # The gateway's idle limit as a fraction of the hosts': a host must not close an idle connection while a
 # request is on its way.
 IDLE_LIMIT_FRACTION = 0.7
@@ -57,7 +59,7 @@
         self.connecting_count = 0  # number of connects under way
         self.waiting_attempts = cast("deque[Attempt]", ())
         self.idle_timer: asyncio.TimerHandle | None = None  # closes the oldest idle connection
-        # Set while attempts wait until an idle connection is older than REUSE_DELAY_MS.
+        # Set while attempts wait until an idle connection may be reused.
         self.reuse_timer: asyncio.TimerHandle | None = None
 
     def _allocate(self) -> None:
@@ -97,7 +99,12 @@
         now = self.node.clock.now()
         while self.waiting_attempts:
             found = next(
-                (c for c in reversed(self.idle_connections) if now - c.idle_since >= REUSE_DELAY_MS), None
+                (
+                    c
+                    for c in reversed(self.idle_connections)
+                    if now - c.idle_since >= self.pools.reuse_delay_ms
+                ),
+                None,
             )
             if found is None:
                 return
@@ -168,7 +175,8 @@
                 node.end_attempt(self.waiting_attempts.popleft(), failure, reason=reason)
             elif self.reuse_timer is None:
                 # The host may accept no more connections, but an idle one can be reused soon.
-                self.reuse_timer = node.loop.call_later(REUSE_DELAY_MS / 1000, self._on_reuse_timer)
+                delay_s = self.pools.reuse_delay_ms / 1000
+                self.reuse_timer = node.loop.call_later(delay_s, self._on_reuse_timer)
         self.forget_if_unused()
 
     def add_connection(self, connection: SendingConnection) -> None:
@@ -202,6 +210,16 @@
             return connection.close(ConnectionEnd.DRAINED)
         self.pools.awaiting_fields[connection] = None
 
+    def note_second_answer(self, lateness_ms: float) -> None:
+        """Let connections of all hosts stay idle longer before they are reused: an answer came twice.
+
+        Guards against a later second answer that is taken for the answer to the next request. Hosts of one
+        fleet run the same software, so what one does is expected of all.
+        """
+        pools = self.pools
+        delay_ms = min(LONGEST_REUSE_DELAY_MS, SECOND_ANSWER_FACTOR * lateness_ms)
+        pools.reuse_delay_ms = max(pools.reuse_delay_ms, delay_ms)
+
     def _close_expired(self) -> None:
         """Close the connections that have reached the idle limit, and set the timer for the next one."""
         now = self.node.clock.now()
@@ -263,6 +281,7 @@
         self.awaiting_fields: OrderedDict[SendingConnection, None] = OrderedDict()
         self.leaving_pools: set[HostPool] = set()  # pools in which attempts wait for a leaving host
         self.open_connections = self.connecting_count = 0  # in all pools
+        self.reuse_delay_ms = REUSE_DELAY_MS  # how long a connection stays idle before it is reused
         self.closing = False  # whether connections are closed when their attempt ends
         self.tasks: set[asyncio.Task[None]] = set()
         self.on_forgotten: Callable[[str], None] = lambda name: None  # called with the name of a removed host
--- a/rainturn/node/host_sending.py
+++ b/rainturn/node/host_sending.py
@@ -39,6 +39,9 @@
     def keep_for_fields(self, connection: SendingConnection) -> None:
         """Keep a connection whose last answer lacks its fields, until they come or its place is needed."""
 
+    def note_second_answer(self, lateness_ms: float) -> None:
+        """Learn that a host has sent something so long after an answer, with no attempt on the connection."""
+
     def remove(self, connection: SendingConnection) -> None:
         """Remove a closed connection from the pool."""
 
--- a/tests/test_node_hosts.py
+++ b/tests/test_node_hosts.py
@@ -22,6 +22,7 @@
     reset,
     run,
     success_answer,
+    wait_until,
     with_timeout,
 )
 
@@ -557,6 +558,33 @@
     run(main())
 
 
+def test_connections_are_reused_later_once_a_second_answer_has_come_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the second answer of a host crossing the next command on its connection."""
+    monkeypatch.setattr(host_pools, "LONGEST_REUSE_DELAY_MS", 20_000.0)  # no test waits so long
+
+    async def main() -> None:
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            pools, client = setup.parts.pools, await setup.client()
+            client.send_request(b"1")
+            assert await client.read_answer() == b"value"
+            (connection,) = pools.pools[1].connections
+            await wait_until(lambda: connection in pools.idle_connections)
+            connection.idle_since -= 10_000.0
+            _peer_of(setup).write(success_answer(b"second"))
+            await wait_until(lambda: connection.closed)
+            assert pools.reuse_delay_ms == 20_000.0
+            client.send_request(b"2")
+            assert await client.read_answer() == b"value"
+            (connection,) = pools.pools[1].connections
+            client.send_request(b"3")  # on a new connection
+            assert await client.read_answer() == b"value"
+            assert len(pools.pools[1].connections) == 2
+
+    run(main())
+
+
 def test_an_attempt_that_cannot_connect_waits_until_an_idle_connection_may_be_reused() -> None:
     """A host at its connection limit refuses another connection; that doesn't make it unreachable."""
 
