--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -392,3 +392,31 @@
         client.writer.close()
 
     _break_off(scenario, times=0)
+
+
+class SteadyBreakingHost(LongValueHost):
+    """Writes two thirds of each long value steadily, for 2 s, and then breaks it off."""
+
+    async def answer(self, writer: asyncio.StreamWriter) -> None:
+        answer, count = success_answer(VALUE), 30
+        for n in range(2 * count // 3):
+            await asyncio.sleep(0.1)
+            writer.write(answer[len(answer) * n // count : len(answer) * (n + 1) // count])
+        reset(writer)
+
+
+def test_replies_behind_a_value_that_breaks_off_long_after_its_deadline_are_not_lost() -> None:
+    """Guards against losing them with the connection, which has to end to show that the value is cut."""
+
+    async def main() -> None:
+        server = await SteadyBreakingHost().start()
+        async with GatewaySetup(lambda words: success_answer()) as setup:
+            setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
+            client = await setup.client()
+            client.send_request(b"long", time_limit_ms=500)
+            _send_behind(client)
+            assert str(await client.read_answer()).startswith("-BUSY")
+            assert [await client.read_answer() for _ in BEHIND] == [b"value"] * len(BEHIND)
+        server.close()
+
+    run(main())
--- a/tests/test_slow_hosts.py
+++ b/tests/test_slow_hosts.py
@@ -17,10 +17,10 @@
 
 
 class SlowWriter:
-    """A host that writes each answer in pieces, with a pause before each."""
+    """A host that writes each answer in pieces, with a pause before each; it may break off after some."""
 
-    def __init__(self, pauses_s: list[float]) -> None:
-        self.pauses_s = pauses_s
+    def __init__(self, pauses_s: list[float], pieces_sent: int | None = None) -> None:
+        self.pauses_s, self.pieces_sent = pauses_s, pieces_sent
 
     async def start(self, setup: GatewaySetup, value: bytes) -> asyncio.Server:
         """Listen in place of the setup's only host; requests named `short` are answered at once."""
@@ -31,9 +31,11 @@
                     writer.write(success_answer(b"short"))
                     continue
                 answer, count = success_answer(value), len(self.pauses_s)
-                for n, pause_s in enumerate(self.pauses_s):
+                for n, pause_s in enumerate(self.pauses_s[: self.pieces_sent]):
                     await asyncio.sleep(pause_s)
                     writer.write(answer[len(answer) * n // count : len(answer) * (n + 1) // count])
+                if self.pieces_sent is not None:
+                    return reset(writer)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
@@ -136,36 +138,12 @@
     return time.monotonic() - started
 
 
-def _stopping_writer(pauses_s: list[float], pieces_sent: int) -> SlowWriter:
-    """Return a host that writes some pieces of its long answer, then breaks the connection."""
-
-    class StoppingWriter(SlowWriter):
-        async def start(self, setup: GatewaySetup, value: bytes) -> asyncio.Server:
-            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-                data = await reader.read(1 << 16)
-                if b"short" in data:
-                    writer.write(success_answer(b"short"))
-                    return
-                answer = success_answer(value)
-                size = len(answer) // len(self.pauses_s)
-                for n, pause_s in enumerate(self.pauses_s[:pieces_sent]):
-                    await asyncio.sleep(pause_s)
-                    writer.write(answer[size * n : size * (n + 1)])
-                reset(writer)
-
-            server = await asyncio.start_server(serve, "127.0.0.1", 0)
-            setup.parts.pools.pools[1].address = server.sockets[0].getsockname()
-            return server
-
-    return StoppingWriter(pauses_s)
-
-
 def test_a_value_that_breaks_off_just_after_its_deadline_does_not_take_the_replies_behind_it_along() -> None:
     """Guards against beginning to send a value at its deadline that its host does not complete."""
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer()) as setup:
-            server = await _stopping_writer([0.2] * 20, 6).start(setup, VALUE)  # breaks off after 1.2 s
+            server = await SlowWriter([0.2] * 20, 6).start(setup, VALUE)  # breaks off after 1.2 s
             client = await setup.client()
             client.send_request(b"slow", b"pay", time_limit_ms=1000, body=b"x")
             client.send_request(b"short", time_limit_ms=1000)
@@ -181,7 +159,7 @@
 
     async def main() -> None:
         async with GatewaySetup(lambda words: success_answer()) as setup:
-            server = await _stopping_writer([0.1] * 30, 20).start(setup, VALUE)  # breaks off after 2 s
+            server = await SlowWriter([0.1] * 30, 20).start(setup, VALUE)  # breaks off after 2 s
             client = await setup.client()
             client.send_request(b"slow", time_limit_ms=500)
             client.send_request(b"short", time_limit_ms=500)
@@ -257,19 +235,3 @@
             assert len(setup.parts.pools.awaiting_fields) == len(setup.parts.pools.pools[1].connections) == 1
 
     run(main())
-
-
-def test_replies_behind_a_value_that_breaks_off_long_after_its_deadline_are_not_lost() -> None:
-    """Guards against losing them with the connection, which has to end to show that the value is cut."""
-
-    async def main() -> None:
-        async with GatewaySetup(lambda words: success_answer()) as setup:
-            server = await _stopping_writer([0.1] * 30, 20).start(setup, VALUE)
-            client = await setup.client()
-            client.send_request(b"slow", time_limit_ms=500)
-            client.send_request(b"short", b"pay", time_limit_ms=500, body=b"x")
-            assert str(await client.read_answer()).startswith(("-BUSY", "-ERR"))
-            assert await client.read_answer() == b"short"
-            server.close()
-
-    run(main())
