Log: without standard error its lines go nowhere, not to a connection

Found by reading: the log output writes to the descriptor of standard error, which is free for a socket if the process was started without one.

--- a/rainturn/node/__main__.py
+++ b/rainturn/node/__main__.py
@@ -100,7 +100,8 @@
 
 def main() -> int:
     """Run the gateway and return its exit code."""
-    log_output = LogOutput(sys.stderr.fileno())
+    # Without standard error its descriptor may become that of a connection.
+    log_output = LogOutput(sys.stderr.fileno() if sys.stderr else os.open(os.devnull, os.O_WRONLY))
     logging.basicConfig(
         handlers=[log_output],
         level=logging.INFO,
